--- a/cmd/banyanquayd/main.go
+++ b/cmd/banyanquayd/main.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"banyanquay/internal/counter"
@@ -21,7 +22,7 @@
 
 // args is the daemon's command line.
 type args struct {
-	Settings string `arg:"positional,required" help:"settings file"`
+	Settings string `arg:"positional,required,env:BANYANQUAY_NODE_FILE" help:"settings file"`
 	Check    bool   `arg:"--check" help:"check the settings and exit"`
 }
 
@@ -47,19 +48,41 @@
 		fmt.Printf("%s: no faults\n", a.Settings)
 		return 0
 	}
-	logger, err := recorder.Logger(settings.Log.Format, settings.Log.Level)
+	logger, stop, err := newLogger(settings.Log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	return serve(settings, logger)
+	defer stop()
+	return serve(compose(settings, logger))
 }
 
-// serve runs the daemon until a signal or a failure.
-func serve(settings loader.Settings, logger *zap.Logger) int {
+// newLogger returns a logger and what writes its last lines.
+func newLogger(cfg loader.Log) (*zap.Logger, func(), error) {
+	if cfg.Rate > 0 {
+		return recorder.Bounded(os.Stdout, cfg.Level, cfg.Rate)
+	}
+	logger, err := recorder.Logger(cfg.Format, cfg.Level)
+	return logger, func() {}, err
+}
+
+// compose makes the node that the settings ask for.
+func compose(settings loader.Settings, logger *zap.Logger) *fx.App {
 	counters := counter.New()
 	counters.Publish()
-	app := supervisor.New(supervisor.Config{Settings: settings, Logger: logger, Counters: counters})
+	if !settings.Relay.Enabled {
+		return supervisor.New(supervisor.Config{Settings: settings, Logger: logger, Counters: counters})
+	}
+	latencies := counter.NewLatencies()
+	latencies.Publish()
+	return supervisor.NewRelay(supervisor.RelayConfig{
+		Settings: settings, Logger: logger, Counters: counters, Latencies: latencies,
+		Platform: onPlatform(settings, counters),
+	})
+}
+
+// serve runs the daemon until a signal or a failure.
+func serve(app *fx.App) int {
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
--- /dev/null
+++ b/cmd/banyanquayd/platform.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"net/http"
+	"time"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/loader"
+	"banyanquay/internal/supervisor"
+	"banyanquay/platform"
+)
+
+// onPlatform is how a node before relaying endpoints speaks to the platform.
+func onPlatform(s loader.Settings, c *counter.Set) supervisor.Platform {
+	store := platform.NewStore(platform.StoreConfig{
+		Address: s.Platform,
+		Called: func(name string, err error) {
+			c.Fleet.Add("store_calls", 1)
+			if err != nil {
+				c.Fleet.Add("store_calls_failed", 1)
+			}
+		},
+	})
+	return supervisor.Platform{
+		Topics: store.Topics(), Relay: platform.NewEndpoints().Relay(),
+		ConfigTopic: platform.TopicConfig, ConfigKey: platform.KeyConfig,
+		EndpointTopic: platform.TopicEndpoints, NodeTopic: platform.TopicNodes, LeadTopic: platform.TopicLead,
+		Configuration: platform.Configuration, Entry: platform.Entry, Request: platform.Request,
+		Discovery: func(answer func(string) ([]string, time.Duration)) http.Handler {
+			return platform.DiscoveryHandler(func(d platform.Discover) ([]string, time.Duration) {
+				return answer(d.Centre)
+			})
+		},
+		Readiness: platform.ReadinessHandler,
+	}
+}
--- /dev/null
+++ b/internal/counter/latency.go
@@ -0,0 +1,89 @@
+package counter
+
+import (
+	"encoding/json"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of a histogram, in microseconds, and its significant digits.
+const (
+	leastMicros = 1
+	mostMicros  = 600_000_000
+	digits      = 2
+)
+
+// Histogram is a latency histogram that expvar publishes. It is safe for
+// concurrent use.
+type Histogram struct {
+	mu     sync.Mutex
+	values *hdrhistogram.Histogram
+}
+
+// NewHistogram returns an empty histogram.
+func NewHistogram() *Histogram {
+	return &Histogram{values: hdrhistogram.New(leastMicros, mostMicros, digits)}
+}
+
+// Record adds a time; one over ten minutes counts as ten minutes.
+func (h *Histogram) Record(d time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.values.RecordValue(min(max(d.Microseconds(), leastMicros), mostMicros))
+}
+
+// summary is a histogram as it is published, in milliseconds.
+type summary struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P90   float64 `json:"p90_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// String returns the histogram's quantiles as JSON.
+func (h *Histogram) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at := func(q float64) float64 { return float64(h.values.ValueAtQuantile(q)) / 1e3 }
+	data, err := json.Marshal(summary{
+		Count: h.values.TotalCount(), P50: at(50), P90: at(90), P95: at(95), P99: at(99),
+		Max: float64(h.values.Max()) / 1e3,
+	})
+	if err != nil {
+		return "{}" // finite numbers always encode
+	}
+	return string(data)
+}
+
+// Latencies are the histograms of a node before relaying endpoints.
+type Latencies struct {
+	// Answers is the time from a request's arrival to the end of its answer,
+	// FirstEvents to the answer's first byte.
+	Answers     *Histogram
+	FirstEvents *Histogram
+	// Pauses is the longest pause between two events of each stream.
+	Pauses *Histogram
+	// Recoveries is the time from the last event before a stream's path was
+	// changed to the first one after it.
+	Recoveries *Histogram
+}
+
+// NewLatencies returns empty histograms.
+func NewLatencies() *Latencies {
+	return &Latencies{
+		Answers: NewHistogram(), FirstEvents: NewHistogram(), Pauses: NewHistogram(), Recoveries: NewHistogram(),
+	}
+}
+
+// Publish names the histograms in expvar; call it once in a process.
+func (l *Latencies) Publish() {
+	expvar.Publish("banyanquay.latency.answers", l.Answers)
+	expvar.Publish("banyanquay.latency.first_events", l.FirstEvents)
+	expvar.Publish("banyanquay.latency.pauses", l.Pauses)
+	expvar.Publish("banyanquay.latency.recoveries", l.Recoveries)
+}
--- a/internal/loader/loader.go
+++ b/internal/loader/loader.go
@@ -56,7 +56,12 @@
 	c := checker{lines: lines}
 	c.address("address", s.Address)
 	c.that(s.Centre != "", "centre", "must name the node's data centre")
-	c.httpURL("platform", s.Platform)
+	if s.Relay.Enabled {
+		c.address("platform", s.Platform)
+		s.Relay.check(&c)
+	} else {
+		c.httpURL("platform", s.Platform)
+	}
 	c.that(len(s.FleetSecret) >= minSecretBytes, "fleet_secret", "must have at least %d bytes", minSecretBytes)
 	for i, o := range s.Operators {
 		c.that(o.Name != "", fmt.Sprintf("operators[%d].name", i), "must not be empty")
@@ -70,6 +75,25 @@
 	return c.faults
 }
 
+// check checks the settings of a node before endpoints that relay.
+func (r Relay) check(c *checker) {
+	c.address("relay.frontend", r.Frontend)
+	c.address("relay.readiness", r.Readiness)
+	c.address("relay.discovery", r.Discovery)
+	if r.Metrics != "" {
+		c.address("relay.metrics", r.Metrics)
+	}
+	for i, seed := range r.Seeds {
+		c.address(fmt.Sprintf("relay.seeds[%d]", i), seed)
+	}
+	c.that(r.MemoryMB >= 0, "relay.memory_mb", "must not be under 0, is %d", r.MemoryMB)
+	c.that(r.RetryRatio >= 0, "relay.retry_ratio", "must not be under 0, is %g", r.RetryRatio)
+	c.that(r.RetrySlack >= 0, "relay.retry_slack", "must not be under 0, is %g", r.RetrySlack)
+	c.span("relay.discovery_ttl", r.DiscoveryTTL)
+	c.span("relay.revoke", r.Revoke)
+	c.span("relay.retry_window", r.RetryWindow)
+}
+
 // checkNumbers checks the counts and sizes.
 func (s Settings) checkNumbers(c *checker) {
 	c.positive("limits.body_bytes", s.Limits.BodyBytes)
@@ -82,6 +106,7 @@
 	c.that(s.Ledger.Homes >= 0, "ledger.homes", "must not be under 0, is %d", s.Ledger.Homes)
 	c.positive("flow.replacements", int64(s.Flow.Replacements))
 	c.positive("placement.loads", int64(s.Placement.Loads))
+	c.that(s.Log.Rate >= 0, "log.rate", "must not be under 0, is %d", s.Log.Rate)
 }
 
 // checkSpans checks the time spans.
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -28,6 +28,37 @@
 
 	Configuration Configuration `toml:"configuration"`
 	Placement     Placement     `toml:"placement"`
+	Relay         Relay         `toml:"relay"`
+}
+
+// Relay sets the node up before endpoints that pass requests among themselves
+// and register in the platform's store.
+type Relay struct {
+	// Enabled runs the node in this way; the platform is then HOST:PORT of
+	// the store.
+	Enabled bool `toml:"enabled"`
+	// Name appears in logs.
+	Name string `toml:"name"`
+	// Frontend, Readiness, Discovery and Metrics are the addresses to listen
+	// on beside Address, which is for other nodes.
+	Frontend  string `toml:"frontend"`
+	Readiness string `toml:"readiness"`
+	Discovery string `toml:"discovery"`
+	Metrics   string `toml:"metrics"`
+	// Seeds are addresses of other nodes; they may be out of date.
+	Seeds []string `toml:"seeds"`
+	// MemoryMB is the memory at which the process is killed; 0 if there is no
+	// such limit.
+	MemoryMB int `toml:"memory_mb"`
+	// DiscoveryTTL is how long callers keep an address answer.
+	DiscoveryTTL Duration `toml:"discovery_ttl"`
+	// Revoke is the time after which a key that was taken away must not work.
+	Revoke Duration `toml:"revoke"`
+	// RetryRatio, RetrySlack and RetryWindow bound what is sent to a service
+	// beyond the first time: in a window, the slack and a share of its requests.
+	RetryRatio  float64  `toml:"retry_ratio"`
+	RetrySlack  float64  `toml:"retry_slack"`
+	RetryWindow Duration `toml:"retry_window"`
 }
 
 // Operator is someone who may use the administration API.
@@ -44,6 +75,9 @@
 	Format string `toml:"format"`
 	// Level is debug, info, warn or error.
 	Level string `toml:"level"`
+	// Rate is the most lines a second on standard output; those beyond it are
+	// dropped and counted. 0 writes every line to standard error.
+	Rate int `toml:"rate"`
 }
 
 // Limits bounds what callers may ask of one node.
@@ -182,6 +216,13 @@
 			Every:       span(2 * time.Second),
 			LoadTimeout: span(10 * time.Minute),
 		},
+		Relay: Relay{
+			DiscoveryTTL: span(2 * time.Second),
+			Revoke:       span(5 * time.Second),
+			RetryRatio:   0.2,
+			RetrySlack:   100,
+			RetryWindow:  span(10 * time.Second),
+		},
 	}
 }
 
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -14,12 +14,15 @@
 
 // Events of the node's life.
 const (
-	NodeStarted  Event = iota + 100 // node started
-	NodeReady                       // node ready to serve
-	NodeLeaving                     // node leaving
-	NodeStopped                     // node stopped
-	NodeCutShort                    // stop deadline cut work short
-	StepFailed                      // supervised step failed
+	NodeStarted     Event = iota + 100 // node started
+	NodeReady                          // node ready to serve
+	NodeLeaving                        // node leaving
+	NodeStopped                        // node stopped
+	NodeCutShort                       // stop deadline cut work short
+	StepFailed                         // supervised step failed
+	LinesDropped                       // log lines dropped
+	SettingsRead                       // settings read again
+	SettingsRefused                    // changed settings refused
 )
 
 // Events of requests.
@@ -30,6 +33,10 @@
 	StageFailed                         // pipeline stage failed
 	OutcomeLost                         // outcome of a non-idempotent request lost
 	CacheNotImported                    // cache of a lost stage not imported
+	TryFailed                           // try at an endpoint failed
+	PathChanged                         // path of a stream changed
+	StreamStalled                       // stream stalled
+	AnswerNotMade                       // answer could not be encoded
 )
 
 // Events of the ledger.
@@ -54,20 +61,25 @@
 
 // Events of the fleet.
 const (
-	PeerUp          Event = iota + 500 // node joined
-	PeerSuspect                        // node suspected
-	PeerDown                           // node gone
-	PeerLeaving                        // node leaving the fleet
-	EndpointUp                         // endpoint up
-	EndpointDown                       // endpoint gone
-	EndpointLeaving                    // endpoint leaving
-	ListUnreachable                    // list of VMs unreachable
-	LinkUp                             // link up
-	LinkDown                           // link down
-	CentreCut                          // data centre unreachable
-	CentreBack                         // data centre reachable again
-	NodeWoke                           // node woke from a pause
-	ListReachable                      // list of VMs reachable again
+	PeerUp           Event = iota + 500 // node joined
+	PeerSuspect                         // node suspected
+	PeerDown                            // node gone
+	PeerLeaving                         // node leaving the fleet
+	EndpointUp                          // endpoint up
+	EndpointDown                        // endpoint gone
+	EndpointLeaving                     // endpoint leaving
+	ListUnreachable                     // list of VMs unreachable
+	LinkUp                              // link up
+	LinkDown                            // link down
+	CentreCut                           // data centre unreachable
+	CentreBack                          // data centre reachable again
+	NodeWoke                            // node woke from a pause
+	ListReachable                       // list of VMs reachable again
+	ListBadRecord                       // record of a list ignored
+	StoreUnreachable                    // platform's store unreachable
+	StoreReachable                      // platform's store reachable again
+	EndpointHolds                       // endpoint holds other layers
+	EndpointDoubted                     // endpoint doubted
 )
 
 // Events of the placement.
--- a/internal/recorder/event_string.go
+++ b/internal/recorder/event_string.go
@@ -14,12 +14,19 @@
 	_ = x[NodeStopped-103]
 	_ = x[NodeCutShort-104]
 	_ = x[StepFailed-105]
+	_ = x[LinesDropped-106]
+	_ = x[SettingsRead-107]
+	_ = x[SettingsRefused-108]
 	_ = x[RequestRefused-200]
 	_ = x[RequestEnded-201]
 	_ = x[StageReplaced-202]
 	_ = x[StageFailed-203]
 	_ = x[OutcomeLost-204]
 	_ = x[CacheNotImported-205]
+	_ = x[TryFailed-206]
+	_ = x[PathChanged-207]
+	_ = x[StreamStalled-208]
+	_ = x[AnswerNotMade-209]
 	_ = x[LedgerUnreachable-300]
 	_ = x[LedgerReachable-301]
 	_ = x[LedgerGap-302]
@@ -46,6 +53,11 @@
 	_ = x[CentreBack-511]
 	_ = x[NodeWoke-512]
 	_ = x[ListReachable-513]
+	_ = x[ListBadRecord-514]
+	_ = x[StoreUnreachable-515]
+	_ = x[StoreReachable-516]
+	_ = x[EndpointHolds-517]
+	_ = x[EndpointDoubted-518]
 	_ = x[LeaseTaken-600]
 	_ = x[LeaseLost-601]
 	_ = x[LoadBegun-602]
@@ -57,29 +69,29 @@
 }
 
 const (
-	_Event_name_0 = "node startednode ready to servenode leavingnode stoppedstop deadline cut work shortsupervised step failed"
-	_Event_name_1 = "request refusedrequest endedpipeline stage replacedpipeline stage failedoutcome of a non-idempotent request lostcache of a lost stage not imported"
+	_Event_name_0 = "node startednode ready to servenode leavingnode stoppedstop deadline cut work shortsupervised step failedlog lines droppedsettings read againchanged settings refused"
+	_Event_name_1 = "request refusedrequest endedpipeline stage replacedpipeline stage failedoutcome of a non-idempotent request lostcache of a lost stage not importedtry at an endpoint failedpath of a stream changedstream stalledanswer could not be encoded"
 	_Event_name_2 = "ledger stream unreachableledger stream reachable againledger records lost to retentionledger record ignored"
 	_Event_name_3 = "configuration change appliedconfiguration change rejectedconfiguration stream unreachableconfiguration stream reachable againconfiguration record ignoredconfiguration snapshot appendedconfiguration records lost to retentionconfiguration restored by an operator"
-	_Event_name_4 = "node joinednode suspectednode gonenode leaving the fleetendpoint upendpoint goneendpoint leavinglist of VMs unreachablelink uplink downdata centre unreachabledata centre reachable againnode woke from a pauselist of VMs reachable again"
+	_Event_name_4 = "node joinednode suspectednode gonenode leaving the fleetendpoint upendpoint goneendpoint leavinglist of VMs unreachablelink uplink downdata centre unreachabledata centre reachable againnode woke from a pauselist of VMs reachable againrecord of a list ignoredplatform's store unreachableplatform's store reachable againendpoint holds other layersendpoint doubted"
 	_Event_name_5 = "lease for orders takenlease for orders lostload orderedload endedload cancelledholdings changed without an orderplacement stream unreachableplacement stream reachable again"
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 12, 31, 43, 55, 83, 105}
-	_Event_index_1 = [...]uint8{0, 15, 28, 51, 72, 112, 146}
+	_Event_index_0 = [...]uint8{0, 12, 31, 43, 55, 83, 105, 122, 141, 165}
+	_Event_index_1 = [...]uint8{0, 15, 28, 51, 72, 112, 146, 171, 195, 209, 236}
 	_Event_index_2 = [...]uint8{0, 25, 54, 86, 107}
 	_Event_index_3 = [...]uint16{0, 28, 57, 89, 125, 153, 184, 223, 260}
-	_Event_index_4 = [...]uint8{0, 11, 25, 34, 56, 67, 80, 96, 119, 126, 135, 158, 185, 207, 234}
+	_Event_index_4 = [...]uint16{0, 11, 25, 34, 56, 67, 80, 96, 119, 126, 135, 158, 185, 207, 234, 258, 286, 318, 345, 361}
 	_Event_index_5 = [...]uint8{0, 22, 43, 55, 65, 79, 112, 140, 172}
 )
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 105:
+	case 100 <= i && i <= 108:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
-	case 200 <= i && i <= 205:
+	case 200 <= i && i <= 209:
 		i -= 200
 		return _Event_name_1[_Event_index_1[i]:_Event_index_1[i+1]]
 	case 300 <= i && i <= 303:
@@ -88,7 +100,7 @@
 	case 400 <= i && i <= 407:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 500 <= i && i <= 513:
+	case 500 <= i && i <= 518:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	case 600 <= i && i <= 607:
--- a/internal/refuser/code.go
+++ b/internal/refuser/code.go
@@ -51,6 +51,7 @@
 	NoSuchService                      // no_such_service
 	NoSuchOrg                          // no_such_organisation
 	NoSuchNode                         // no_such_node
+	UnknownKey                         // unknown_key
 )
 
 // Codes of limits.
@@ -150,6 +151,7 @@
 	{NoSuchService, http.StatusNotFound, false, "The organisation's template does not offer this service.", "Ask an operator to add a route."},
 	{NoSuchOrg, http.StatusNotFound, false, "There is no such organisation.", "Check the name with banyanquay orgs."},
 	{NoSuchNode, http.StatusNotFound, false, "There is no such node.", "Check the address with banyanquay nodes."},
+	{UnknownKey, http.StatusUnauthorized, false, "The API key is not in the configuration in force.", "Check the key with an operator."},
 	{OverShare, http.StatusTooManyRequests, true, "The organisation has used its share and none can be lent.", "Come back after Retry-After."},
 	{QueueTooLong, http.StatusTooManyRequests, true, "The queue is longer than the request could wait.", "Come back after Retry-After."},
 	{DeadlineTooClose, http.StatusServiceUnavailable, true, "The request can't be finished before its deadline.", "Allow more time or come back later."},
--- a/internal/refuser/code_string.go
+++ b/internal/refuser/code_string.go
@@ -24,6 +24,7 @@
 	_ = x[NoSuchService-2004]
 	_ = x[NoSuchOrg-2005]
 	_ = x[NoSuchNode-2006]
+	_ = x[UnknownKey-2007]
 	_ = x[OverShare-3001]
 	_ = x[QueueTooLong-3002]
 	_ = x[DeadlineTooClose-3003]
@@ -54,7 +55,7 @@
 
 const (
 	_Code_name_0 = "bad_jsonbad_requestbody_too_largeno_such_pathmethod_not_allowedbad_idempotency_keykey_reusedbad_templateno_such_requestheader_too_large"
-	_Code_name_1 = "no_credentialwrong_credentialno_such_modelno_such_serviceno_such_organisationno_such_node"
+	_Code_name_1 = "no_credentialwrong_credentialno_such_modelno_such_serviceno_such_organisationno_such_nodeunknown_key"
 	_Code_name_2 = "over_sharequeue_too_longdeadline_too_closeretry_budget_spenttoo_many_requests"
 	_Code_name_3 = "in_progressoutcome_unknownkey_expiredkey_from_futureledger_unavailableledger_catching_upsupersededanswer_too_large"
 	_Code_name_4 = "no_pipelineno_endpointendpoint_faileddeadline_passedcaller_leftstream_brokenanswer_outdated"
@@ -64,7 +65,7 @@
 
 var (
 	_Code_index_0 = [...]uint8{0, 8, 19, 33, 45, 63, 82, 92, 104, 119, 135}
-	_Code_index_1 = [...]uint8{0, 13, 29, 42, 57, 77, 89}
+	_Code_index_1 = [...]uint8{0, 13, 29, 42, 57, 77, 89, 100}
 	_Code_index_2 = [...]uint8{0, 10, 24, 42, 60, 77}
 	_Code_index_3 = [...]uint8{0, 11, 26, 37, 52, 70, 88, 98, 114}
 	_Code_index_4 = [...]uint8{0, 11, 22, 37, 52, 63, 76, 91}
@@ -77,7 +78,7 @@
 	case 1001 <= i && i <= 1010:
 		i -= 1001
 		return _Code_name_0[_Code_index_0[i]:_Code_index_0[i+1]]
-	case 2001 <= i && i <= 2006:
+	case 2001 <= i && i <= 2007:
 		i -= 2001
 		return _Code_name_1[_Code_index_1[i]:_Code_index_1[i+1]]
 	case 3001 <= i && i <= 3005:
--- /dev/null
+++ b/internal/supervisor/arranger/arranger.go
@@ -0,0 +1,217 @@
+// Package arranger gives the layers of models to engines and orders them to
+// load. The plan is a pure function of what the engines report; nothing that
+// was ordered is believed before it is reported.
+package arranger
+
+import (
+	"context"
+	"errors"
+	"math"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/driver"
+	"banyanquay/internal/grouper"
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/registrar"
+)
+
+const (
+	// tick is the time between two looks at what is missing.
+	tick = 300 * time.Millisecond
+	// settle is how long an engine's first entry is waited for before the first
+	// plan, so that engines that start together are planned together.
+	settle = 700 * time.Millisecond
+	// roomRequests is for how many usual requests an engine keeps room beside
+	// its layers. A path's engine in a data centre with one holder of each layer
+	// sees all requests of the data centre.
+	roomRequests = 80
+	// orderTime is how long an order is waited for beyond the load: the
+	// platform may carry one out late.
+	orderTime = 6 * time.Second
+	// parallel bounds the orders on their way.
+	parallel = 16
+)
+
+// Config is what an arranger needs.
+type Config struct {
+	// Configuration is nil until one has been read.
+	Configuration func() *mapper.Configuration
+	Endpoints     func() *registrar.Table
+	Report        func(ctx context.Context, address, endpoint string) (driver.Report, error)
+	Place         func(ctx context.Context, address, endpoint string, p driver.Placement) error
+	// Leads tells whether this node gives orders, and Confirm asks the store.
+	Leads    func() bool
+	Confirm  func(ctx context.Context) (fence uint64, ok bool)
+	Fenced   func()
+	Now      func() time.Time
+	Recorder *recorder.Recorder
+	Counters *counter.Set
+}
+
+// order is one that was given and is not yet reported.
+type order struct {
+	born  int64
+	first int
+	last  int
+	until time.Time
+}
+
+// Arranger orders engines while this node leads.
+type Arranger struct {
+	cfg Config
+	// orders are by the engine's ID; they belong to the step's goroutine.
+	orders map[string]order
+	// seen is when the number of endpoints last grew, and count that number.
+	seen  time.Time
+	count int
+}
+
+// New returns an arranger.
+func New(cfg Config) *Arranger {
+	return &Arranger{cfg: cfg, orders: make(map[string]order)}
+}
+
+// Step orders engines until its context ends.
+func (a *Arranger) Step() grouper.Step {
+	return grouper.Step{Name: "arranger", Run: func(ctx context.Context) error {
+		for grouper.Sleep(ctx, tick) {
+			a.look(ctx)
+		}
+		return nil
+	}}
+}
+
+// job is an order to give.
+type job struct {
+	entry registrar.Entry
+	rng   Range
+	load  time.Duration
+}
+
+// look orders what is missing.
+func (a *Arranger) look(ctx context.Context) {
+	cfg, table := a.cfg.Configuration(), a.cfg.Endpoints()
+	if cfg == nil || !a.cfg.Leads() {
+		clear(a.orders)
+		return
+	}
+	now := a.cfg.Now()
+	if n := table.Len(); n > a.count {
+		a.seen = now
+	}
+	a.count = table.Len()
+	if now.Sub(a.seen) < settle {
+		return
+	}
+	var jobs []job
+	for _, service := range cfg.Services() {
+		if service.Engine != nil && service.Engine.Layers > 0 {
+			jobs = append(jobs, a.jobs(now, service, table)...)
+		}
+	}
+	if len(jobs) == 0 {
+		return
+	}
+	fence, ok := a.cfg.Confirm(ctx)
+	if !ok {
+		return
+	}
+	a.give(ctx, fence, jobs)
+}
+
+// jobs returns the orders that a service needs.
+func (a *Arranger) jobs(now time.Time, service mapper.Service, table *registrar.Table) []job {
+	engine := service.Engine
+	var holders []Holder
+	entries := make(map[string]registrar.Entry)
+	for _, e := range table.All() {
+		if e.Service != service.Name || e.Leaving {
+			continue
+		}
+		entries[e.ID] = e
+		holders = append(holders, a.holder(now, engine, e))
+	}
+	var jobs []job
+	for _, r := range Plan(engine.Layers, holders) {
+		part := float64(r.Last-r.First) / float64(engine.Layers)
+		load := time.Duration(part * float64(engine.Load))
+		jobs = append(jobs, job{entry: entries[r.ID], rng: r, load: load})
+	}
+	return jobs
+}
+
+// holder returns an engine as the plan sees it. One that was given an order
+// counts as holding the range until the order is reported or given up.
+func (a *Arranger) holder(now time.Time, engine *mapper.Engine, e registrar.Entry) Holder {
+	h := Holder{ID: e.ID, Centre: e.Centre, First: e.First, Last: e.Last, Capacity: capacity(engine, e.Accelerator)}
+	o, ok := a.orders[e.ID]
+	switch {
+	case !ok:
+	case o.born != e.Born, o.first == e.First && o.last == e.Last, now.After(o.until):
+		delete(a.orders, e.ID)
+	default:
+		h.First, h.Last, h.Fixed = o.first, o.last, true
+	}
+	return h
+}
+
+// capacity is how many layers an engine may hold and still have room for
+// roomRequests; at least as many as fit if that leaves hardly any.
+func capacity(engine *mapper.Engine, kind string) int {
+	accelerator, ok := engine.Accelerator(kind)
+	if !ok || engine.LayerMB <= 0 {
+		return 0
+	}
+	most := min(int(math.Floor(accelerator.MB/engine.LayerMB)), engine.Layers)
+	usual := max(engine.Prompt+engine.Answer, 1)
+	for n := most; n > 1; n-- {
+		if engine.Room(accelerator, n) >= roomRequests*usual {
+			return n
+		}
+	}
+	return min(most, 1)
+}
+
+// give sends the orders and waits for their answers.
+func (a *Arranger) give(ctx context.Context, fence uint64, jobs []job) {
+	var wg sync.WaitGroup
+	slots := make(chan struct{}, parallel)
+	for _, j := range jobs {
+		a.orders[j.entry.ID] = order{
+			born: j.entry.Born, first: j.rng.First, last: j.rng.Last,
+			until: a.cfg.Now().Add(j.load*time.Duration(1+len(jobs)) + orderTime),
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			a.order(ctx, fence, j)
+		})
+	}
+	wg.Wait()
+}
+
+// order sends one order. It depends on the engine's count of orders, so that
+// an earlier one that comes late has no effect after it.
+func (a *Arranger) order(ctx context.Context, fence uint64, j job) {
+	report, err := a.cfg.Report(ctx, j.entry.Address, j.entry.ID)
+	if err == nil {
+		err = a.cfg.Place(ctx, j.entry.Address, j.entry.ID, driver.Placement{
+			First: j.rng.First, Last: j.rng.Last, Fence: fence, Orders: report.Orders,
+		})
+	}
+	var refused *driver.Refused
+	if errors.As(err, &refused) && refused.Reason == driver.ReasonFence {
+		a.cfg.Fenced()
+	}
+	a.cfg.Counters.Placement.Add("orders", 1)
+	a.cfg.Recorder.Info(recorder.LoadBegun,
+		zap.String("endpoint", j.entry.ID), zap.String("address", j.entry.Address),
+		zap.Int("first", j.rng.First), zap.Int("last", j.rng.Last),
+		zap.Int("held_first", j.entry.First), zap.Int("held_last", j.entry.Last),
+		zap.Uint64("fence", fence), zap.Int64("orders", report.Orders), zap.Error(err))
+}
--- /dev/null
+++ b/internal/supervisor/forwarder/answer.go
@@ -0,0 +1,108 @@
+package forwarder
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/refuser"
+)
+
+// refuse answers a request with this node's own word, at once. After the head
+// of an answer has been written the connection is closed instead, so that the
+// answer doesn't look whole.
+func (f *Forwarder) refuse(c *call, r refuser.Refusal) {
+	f.note(c, r)
+	if c.answered {
+		panic(http.ErrAbortHandler)
+	}
+	if r.Code == refuser.CallerLeft {
+		panic(http.ErrAbortHandler)
+	}
+	body, err := json.Marshal(r.Problem())
+	if err != nil {
+		f.cfg.Recorder.Error(recorder.AnswerNotMade, zap.Error(err))
+	}
+	header := c.w.Header()
+	header.Set("Content-Type", refuser.ContentType)
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	if r.Wait > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(r.Wait.Seconds(), 'f', 3, 64))
+	}
+	c.w.WriteHeader(status(r))
+	_, _ = c.w.Write(body)
+}
+
+// status returns the status of a refusal. One that promises that the request
+// did not run may be sent only if that is so.
+func status(r refuser.Refusal) int {
+	code := refuser.Lookup(r.Code).Status
+	if r.Ran == refuser.Never {
+		return code
+	}
+	switch code {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return http.StatusBadGateway
+	}
+	return code
+}
+
+// copyHeader copies an endpoint's header to the caller's answer.
+func (c *call) copyHeader(reply driver.Reply) {
+	header := c.w.Header()
+	for name, values := range reply.Header {
+		header[name] = values
+	}
+	// Stops the server from guessing a type that the endpoint didn't state.
+	if _, ok := reply.Header["Content-Type"]; !ok {
+		header["Content-Type"] = nil
+	}
+}
+
+// note counts and records a refusal.
+func (f *Forwarder) note(c *call, r refuser.Refusal) {
+	f.cfg.Counters.Refusals.Add(r.Code.String(), 1)
+	f.cfg.Recorder.Info(recorder.RequestRefused,
+		zap.String("request", c.ID),
+		zap.String("route", c.route.Name),
+		zap.String("service", c.service),
+		zap.String("organisation", c.organisation.Name),
+		zap.Int64("configuration", c.version),
+		zap.Duration("confirmed", c.confirmed),
+		zap.Int("code", int(r.Code)),
+		zap.String("name", r.Code.String()),
+		zap.Stringer("ran", r.Ran),
+		zap.Int("sends", c.sends),
+		zap.Int("runs", c.runs),
+		zap.Bool("midway", c.answered),
+		zap.Duration("took", f.cfg.Now().Sub(c.Arrived)),
+		zap.Duration("wait", r.Wait),
+		zap.String("detail", r.Detail))
+}
+
+// done counts and records an answer that was delivered whole.
+func (f *Forwarder) done(c *call, code int, endpoint string) {
+	now := f.cfg.Now()
+	f.cfg.Counters.Requests.Add("answered", 1)
+	f.cfg.Latency.Answers.Record(now.Sub(c.Arrived))
+	if !c.first.IsZero() {
+		f.cfg.Latency.FirstEvents.Record(c.first.Sub(c.Arrived))
+	}
+	f.cfg.Recorder.Info(recorder.RequestEnded,
+		zap.String("request", c.ID),
+		zap.String("route", c.route.Name),
+		zap.String("service", c.service),
+		zap.String("organisation", c.organisation.Name),
+		zap.Int64("configuration", c.version),
+		zap.Duration("confirmed", c.confirmed),
+		zap.Int("status", code),
+		zap.String("endpoint", endpoint),
+		zap.Int("sends", c.sends),
+		zap.Int("runs", c.runs),
+		zap.Duration("first", c.first.Sub(c.Arrived)),
+		zap.Duration("took", now.Sub(c.Arrived)))
+}
--- /dev/null
+++ b/internal/supervisor/forwarder/assessor/assessor.go
@@ -0,0 +1,149 @@
+// Package assessor judges endpoints by the work that this node gives them:
+// requests and tokens in progress, latency, failures, and doubts.
+package assessor
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+const (
+	// share is the weight of a new sample in the smoothed values.
+	share = 0.25
+	// forget is the time in which half of a failure rate wears off, so that an
+	// endpoint that has recovered is tried again.
+	forget = 3 * time.Second
+)
+
+// Record is what is known of an endpoint. It is an immutable value.
+type Record struct {
+	// Requests and Tokens are in progress for this node.
+	Requests int
+	Tokens   int
+	// Latency is the smoothed time of a successful request.
+	Latency time.Duration
+	// Failures is the smoothed share of requests that failed, 0 to 1.
+	Failures float64
+	// at is when Failures was last true.
+	at time.Time
+	// Doubted is until when the endpoint is avoided.
+	Doubted time.Time
+}
+
+// failures returns the failure rate as it counts now.
+func (r Record) failures(now time.Time) float64 {
+	return r.Failures * math.Exp2(-float64(now.Sub(r.at))/float64(forget))
+}
+
+// Assessor keeps a record of each endpoint. It is safe for concurrent use.
+type Assessor struct {
+	now func() time.Time
+
+	mu      sync.Mutex
+	records map[string]Record
+}
+
+// New returns an assessor without records.
+func New(now func() time.Time) *Assessor {
+	return &Assessor{now: now, records: make(map[string]Record)}
+}
+
+// Record returns an endpoint's record, with the failure rate as of now.
+func (a *Assessor) Record(id string) Record {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.records[id]
+	now := a.now()
+	r.Failures, r.at = r.failures(now), now
+	return r
+}
+
+// Doubtful tells whether an endpoint is avoided now.
+func (a *Assessor) Doubtful(id string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.now().Before(a.records[id].Doubted)
+}
+
+// Begin counts work at endpoints as in progress until the function returned is
+// called; more than once has no effect.
+func (a *Assessor) Begin(ids []string, tokens int) (end func()) {
+	a.add(ids, 1, tokens)
+	var once sync.Once
+	return func() { once.Do(func() { a.add(ids, -1, -tokens) }) }
+}
+
+// add changes the counts of work in progress.
+func (a *Assessor) add(ids []string, requests, tokens int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, id := range ids {
+		r := a.records[id]
+		r.Requests += requests
+		r.Tokens += tokens
+		a.records[id] = r
+	}
+}
+
+// Succeeded takes in that an endpoint answered well.
+func (a *Assessor) Succeeded(id string, took time.Duration) {
+	a.observe(id, 0, func(r *Record) {
+		if r.Latency == 0 {
+			r.Latency = took
+		}
+		r.Latency += time.Duration(share * float64(took-r.Latency))
+		r.Doubted = time.Time{}
+	})
+}
+
+// Failed takes in that an endpoint failed a request.
+func (a *Assessor) Failed(id string) {
+	a.observe(id, 1, func(*Record) {})
+}
+
+// Doubt lets an endpoint be avoided for a while.
+func (a *Assessor) Doubt(id string, d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.records[id]
+	if until := a.now().Add(d); until.After(r.Doubted) {
+		r.Doubted = until
+	}
+	a.records[id] = r
+}
+
+// Trust ends a doubt.
+func (a *Assessor) Trust(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r, ok := a.records[id]
+	if !ok || r.Doubted.IsZero() {
+		return
+	}
+	r.Doubted = time.Time{}
+	a.records[id] = r
+}
+
+// observe moves the failure rate towards a sample.
+func (a *Assessor) observe(id string, sample float64, change func(*Record)) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	r := a.records[id]
+	rate := r.failures(now)
+	r.Failures, r.at = rate+share*(sample-rate), now
+	change(&r)
+	a.records[id] = r
+}
+
+// Keep forgets all endpoints without work but those named.
+func (a *Assessor) Keep(known func(id string) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for id, r := range a.records {
+		if r.Requests == 0 && !known(id) {
+			delete(a.records, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/supervisor/forwarder/fleet.go
@@ -0,0 +1,116 @@
+package forwarder
+
+import (
+	"time"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/registrar"
+)
+
+// fleet is the endpoints as the forwarder uses them. It is immutable.
+type fleet struct {
+	// table and configuration are what it was made of.
+	table         *registrar.Table
+	configuration *mapper.Configuration
+	services      map[string]*members
+	// ids has the ID of the endpoint at each address.
+	ids map[string]string
+}
+
+// members are the endpoints of one service.
+type members struct {
+	service mapper.Service
+	// entries are those that are not leaving.
+	entries []registrar.Entry
+	// engines are the same for the planner, for services with layers.
+	engines []driver.Endpoint
+	// rooms is how many tokens fit at each address.
+	rooms map[string]int
+	// versions are the weights' versions in use, that of the most layers first.
+	versions []string
+	model    string
+}
+
+// newFleet joins a table of endpoints with what the configuration says of
+// their services.
+func newFleet(table *registrar.Table, cfg *mapper.Configuration) *fleet {
+	f := &fleet{
+		table: table, configuration: cfg,
+		services: make(map[string]*members), ids: make(map[string]string),
+	}
+	for _, e := range table.All() {
+		service, ok := cfg.Service(e.Service)
+		if !ok {
+			continue
+		}
+		m := f.services[e.Service]
+		if m == nil {
+			m = &members{service: service, rooms: make(map[string]int)}
+			f.services[e.Service] = m
+		}
+		f.ids[e.Address] = e.ID
+		if !e.Leaving {
+			m.add(e)
+		}
+	}
+	for _, m := range f.services {
+		m.rank()
+	}
+	return f
+}
+
+// add adds an endpoint.
+func (m *members) add(e registrar.Entry) {
+	m.entries = append(m.entries, e)
+	engine := m.service.Engine
+	if engine == nil || engine.Layers == 0 || !e.Holds() {
+		return
+	}
+	kind, _ := engine.Accelerator(e.Accelerator)
+	perLayer := float64(engine.Step) * kind.Pace / float64(engine.Layers) / float64(time.Millisecond)
+	m.rooms[e.Address] = engine.Room(kind, e.Last-e.First)
+	m.model = e.Model
+	m.engines = append(m.engines, driver.Endpoint{
+		Address: e.Address, Centre: e.Centre,
+		Status: driver.Status{
+			Incarnation: e.ID, Accelerator: e.Accelerator, Slots: e.Slots, StepMillis: perLayer,
+			Holdings: []driver.Holding{{
+				Model: e.Model, Version: e.Version, First: e.First, Last: e.Last, Layers: engine.Layers,
+			}},
+		},
+	})
+}
+
+// rank orders the versions by the layers held of them.
+func (m *members) rank() {
+	held := make(map[string]int)
+	for _, e := range m.entries {
+		if e.Holds() {
+			held[e.Version] += e.Last - e.First
+		}
+	}
+	for version, layers := range held {
+		at := 0
+		for at < len(m.versions) && held[m.versions[at]] >= layers {
+			at++
+		}
+		m.versions = append(m.versions[:at], append([]string{version}, m.versions[at:]...)...)
+	}
+}
+
+// fleet returns the endpoints as known now.
+func (f *Forwarder) fleet(cfg *mapper.Configuration) *fleet {
+	table := f.cfg.Endpoints()
+	current := f.current.Load()
+	if current != nil && current.table == table && current.configuration == cfg {
+		return current
+	}
+	next := newFleet(table, cfg)
+	f.current.Store(next)
+	f.assessor.Keep(func(id string) bool {
+		_, ok := table.Get(id)
+		return ok
+	})
+	return next
+}
--- /dev/null
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -0,0 +1,241 @@
+// Package forwarder takes callers' requests to the endpoints of their routes:
+// to one of a plain service, or along a path of engines that pass a
+// generation among themselves.
+package forwarder
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/driver"
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/refuser"
+	"banyanquay/internal/registrar"
+	"banyanquay/internal/supervisor/dispatcher/planner"
+	"banyanquay/internal/supervisor/forwarder/assessor"
+	"banyanquay/internal/supervisor/forwarder/budgeter"
+	"banyanquay/internal/supervisor/listener"
+)
+
+// View is the configuration with the time at which it was last known to be the
+// newest. It is an immutable value.
+type View struct {
+	// Configuration is nil until one has been read.
+	Configuration *mapper.Configuration
+	// Confirmed is when the question was sent whose answer proved the
+	// configuration to be the newest.
+	Confirmed time.Time
+}
+
+// Config is what a forwarder needs. Its functions are safe for concurrent use.
+type Config struct {
+	// Decode reads a caller's request.
+	Decode func(r *http.Request, arrived time.Time) (Request, error)
+	// View returns the configuration in force.
+	View func() View
+	// Endpoints returns the table of endpoints.
+	Endpoints func() *registrar.Table
+	// Relay calls endpoints.
+	Relay driver.Relay
+	// Budget bounds repeats.
+	Budget *budgeter.Budgeter
+	// Centre is this node's data centre.
+	Centre string
+	// KeyAge is how old the configuration's confirmation may be for requests
+	// with a key.
+	KeyAge time.Duration
+	// Nodes returns how many nodes share the endpoints.
+	Nodes    func() int
+	Gate     *listener.Gate
+	Now      func() time.Time
+	Seed     uint64
+	Recorder *recorder.Recorder
+	Counters *counter.Set
+	Latency  *counter.Latencies
+}
+
+// Forwarder forwards requests. It is safe for concurrent use.
+type Forwarder struct {
+	cfg      Config
+	assessor *assessor.Assessor
+	planner  *planner.Planner
+	monitor  *monitor
+	current  atomic.Pointer[fleet]
+}
+
+// Costs of a hop between engines, for the choice of a path. The one to another
+// data centre is far above its delay: all crossings share one pipe, so that it
+// is taken only where the own data centre has no holder.
+const (
+	nearHop = 300 * time.Microsecond
+	farHop  = 40 * time.Millisecond
+)
+
+// New returns a forwarder.
+func New(cfg Config) *Forwarder {
+	f := &Forwarder{
+		cfg:      cfg,
+		assessor: assessor.New(cfg.Now),
+		planner:  planner.New(planner.Config{LocalRTT: nearHop, RemoteRTT: farHop, Seed: cfg.Seed}),
+	}
+	f.monitor = newMonitor(f)
+	return f
+}
+
+// call is one caller's request on its way.
+type call struct {
+	Request
+	w     http.ResponseWriter
+	r     *http.Request
+	route mapper.Route
+	// service is the one that the route's split chose.
+	service      string
+	organisation mapper.Organisation
+	members      *members
+	ids          map[string]string
+	// confirmed is the age of the configuration's confirmation at the check.
+	confirmed time.Duration
+	version   int64
+	// tried holds the IDs of the endpoints that are not asked again.
+	tried map[string]bool
+	// sends counts what was sent, and runs what an endpoint began to work on
+	// or may have.
+	sends int
+	runs  int
+	// answered is set once the head of an answer has been written.
+	answered bool
+	// first is when the first event or the whole answer was written.
+	first time.Time
+}
+
+// ServeHTTP answers a caller's request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := f.cfg.Now()
+	c := &call{w: w, r: r, Request: Request{Arrived: arrived}, tried: make(map[string]bool)}
+	leave, err := f.cfg.Gate.Enter()
+	defer leave()
+	if err != nil {
+		w.Header().Set("Connection", "close")
+		f.refuse(c, asRefusal(err))
+		return
+	}
+	if f.cfg.Gate.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
+	if err := f.admit(c); err != nil {
+		f.refuse(c, asRefusal(err))
+		return
+	}
+	f.cfg.Budget.Request(c.service)
+	if c.members.service.Engine != nil && c.members.service.Engine.Layers > 0 {
+		f.generate(c)
+		return
+	}
+	f.plain(c)
+}
+
+// admit reads the request and checks it against the configuration.
+func (f *Forwarder) admit(c *call) error {
+	view := f.cfg.View()
+	if view.Configuration == nil {
+		return refuser.New(refuser.NotCaughtUp, "no configuration has been read").WithWait(time.Second)
+	}
+	if err := f.read(c, view.Configuration.Limits()); err != nil {
+		return err
+	}
+	view = f.cfg.View()
+	cfg := view.Configuration
+	c.version = cfg.Version()
+	route, ok := cfg.Route(c.Host, c.Path)
+	if !ok {
+		return refuser.New(refuser.NoSuchPath, "no route of %s begins %s", c.Host, c.Path)
+	}
+	c.route = route
+	if cfg.Keyed() && !route.Anonymous {
+		o, ok := cfg.Organisation(c.Key)
+		// The age is taken after the look-up: the caller sent the request
+		// before this moment, whatever happens to this process from here on.
+		c.confirmed = f.cfg.Now().Sub(view.Confirmed)
+		if c.confirmed > f.cfg.KeyAge {
+			return refuser.New(refuser.NotCaughtUp,
+				"the configuration was last confirmed %v ago", c.confirmed).WithWait(time.Second)
+		}
+		if !ok {
+			return refuser.New(refuser.UnknownKey, "the key is not in configuration %d", c.version)
+		}
+		c.organisation = o
+	} else if o, ok := cfg.Organisation(c.Key); ok {
+		c.organisation = o
+	}
+	c.service = route.Service(xxhash.Sum64String(c.ID))
+	fleet := f.fleet(cfg)
+	c.ids = fleet.ids
+	c.members = fleet.services[c.service]
+	if c.members == nil {
+		return refuser.New(refuser.NoEndpoint, "service %s has no endpoint", c.service).WithWait(time.Second)
+	}
+	return nil
+}
+
+// read reads the request within the limits.
+func (f *Forwarder) read(c *call, limits mapper.Limits) error {
+	if limits.HeaderBytes > 0 && listener.HeaderBytes(c.r) > limits.HeaderBytes {
+		return refuser.New(refuser.HeaderTooLarge, "the limit is %d bytes", limits.HeaderBytes)
+	}
+	if limits.BodyBytes > 0 {
+		if c.r.ContentLength > limits.BodyBytes {
+			return refuser.New(refuser.BodyTooLarge, "the limit is %d bytes", limits.BodyBytes)
+		}
+		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limits.BodyBytes)
+	}
+	req, err := f.cfg.Decode(c.r, c.Arrived)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return refuser.New(refuser.BodyTooLarge, "the limit is %d bytes", limits.BodyBytes)
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return refuser.New(refuser.CallerLeft, "%v", err)
+	case err != nil:
+		return refuser.New(refuser.BadRequest, "%v", err)
+	}
+	c.Request = req
+	return nil
+}
+
+// rank is the request's rank among those that wait at an endpoint.
+func (c *call) rank() int {
+	rank := c.route.Priority
+	if c.organisation.Ranked {
+		rank = c.organisation.Priority
+	}
+	return min(max(rank, 0), lastRank)
+}
+
+// lastRank is the last rank that endpoints know.
+const lastRank = 9
+
+// forward returns what goes to an endpoint.
+func (f *Forwarder) forward(c *call, endpoint string) driver.Forward {
+	left, _ := c.remaining(f.cfg.Now(), c.route.Timeout)
+	return driver.Forward{
+		ID: c.ID, Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body,
+		Endpoint: endpoint, Organisation: c.organisation.Name, Remaining: left,
+		After: c.After, Priority: c.rank(),
+	}
+}
+
+// asRefusal returns an error as a refusal.
+func asRefusal(err error) refuser.Refusal {
+	var r refuser.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return refuser.New(refuser.InternalError, "%v", err).WithRan(refuser.Maybe)
+}
--- /dev/null
+++ b/internal/supervisor/forwarder/generate.go
@@ -0,0 +1,324 @@
+package forwarder
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/refuser"
+	"banyanquay/internal/supervisor/dispatcher/planner"
+)
+
+const (
+	// streamBuffer is the read buffer of a stream; an event has some hundred
+	// bytes.
+	streamBuffer = 4 << 10
+	// maxAttempts bounds how often one generation is sent, refusals included.
+	maxAttempts = 6
+	// doubtTime is how long an endpoint is avoided after it failed work.
+	doubtTime = 2 * time.Second
+	// fullTime is how long an engine that had no room is avoided.
+	fullTime = 150 * time.Millisecond
+	// leastLeft is the time below which a generation isn't begun any more.
+	leastLeft = 50 * time.Millisecond
+)
+
+// Causes of the end of an attempt.
+var (
+	errStalled = trace.ConnectionProblem(nil, "no progress")
+	errEnded   = trace.ConnectionProblem(nil, "the attempt ended")
+)
+
+// generate runs a generation along a path of engines, and on along others when
+// one breaks.
+func (f *Forwarder) generate(c *call) {
+	s := f.monitor.begin(c)
+	defer f.monitor.end(s)
+	var last error
+	for {
+		plan, err := f.path(c, s)
+		if err != nil {
+			f.refuse(c, f.broken(c, err, last))
+			return
+		}
+		if c.sends > 0 && !f.cfg.Budget.Repeat(c.service) {
+			f.cfg.Counters.Retries.Add("budget_spent", 1)
+			f.refuse(c, f.broken(c, refuser.New(refuser.RetryBudgetSpent, "no repeat left").WithWait(time.Second), last))
+			return
+		}
+		whole, err := f.attempt(c, s, plan)
+		if whole {
+			f.done(c, http.StatusOK, s.firstID())
+			return
+		}
+		last = err
+		if c.r.Context().Err() != nil {
+			f.refuse(c, refuser.New(refuser.CallerLeft, "the caller closed its connection"))
+			return
+		}
+		if !f.resumes(c, err) {
+			f.refuse(c, f.broken(c, err, last))
+			return
+		}
+	}
+}
+
+// resumes tells whether another attempt may follow a failed one.
+func (f *Forwarder) resumes(c *call, err error) bool {
+	left, limited := c.remaining(f.cfg.Now(), c.route.Timeout)
+	if limited && left < leastLeft {
+		return false
+	}
+	if c.sends >= maxAttempts {
+		return false
+	}
+	var unsent *driver.Unsent
+	var refused *driver.Refused
+	if errors.As(err, &unsent) || errors.As(err, &refused) {
+		return true
+	}
+	return c.route.Resumable && c.runs < c.route.Attempts
+}
+
+// broken returns the refusal of a generation that can't go on.
+func (f *Forwarder) broken(c *call, err, last error) refuser.Refusal {
+	detail := err.Error()
+	if last != nil {
+		detail += "; before that: " + last.Error()
+	}
+	left, limited := c.remaining(f.cfg.Now(), c.route.Timeout)
+	var r refuser.Refusal
+	switch {
+	case c.answered:
+		return refuser.New(refuser.StreamBroken, "%s", detail).WithRan(refuser.Maybe)
+	case limited && left < leastLeft:
+		r = refuser.New(refuser.DeadlinePassed, "%s", detail)
+	case errors.As(err, &r):
+		r.Detail = detail
+	default:
+		r = refuser.New(refuser.EndpointFailed, "%s", detail)
+	}
+	if c.runs > 0 {
+		return r.WithRan(refuser.Maybe)
+	}
+	if r.Wait == 0 {
+		r = r.WithWait(comeBack)
+	}
+	return r
+}
+
+// path chooses the engines of the next attempt. Those that are in doubt are
+// used only where no others hold the layers.
+func (f *Forwarder) path(c *call, s *session) (planner.Plan, error) {
+	if len(c.members.versions) == 0 {
+		return nil, refuser.New(refuser.NoPipeline, "no engine of %s holds layers", c.service).WithWait(comeBack)
+	}
+	req := planner.Request{
+		Model: c.members.model, Version: c.members.versions[0], Centre: f.cfg.Centre,
+	}
+	if s.version != "" {
+		req.Version = s.version
+	}
+	for address, id := range c.ids {
+		if c.tried[id] {
+			req.Exclude = append(req.Exclude, address)
+		}
+	}
+	need := c.tokens()
+	careful := func(address string) planner.Load { return f.load(c, address, need, true) }
+	plan, err := f.planner.Choose(req, c.members.engines, careful)
+	if err == nil {
+		return plan, nil
+	}
+	return f.planner.Choose(req, c.members.engines, func(address string) planner.Load {
+		return f.load(c, address, need, false)
+	})
+}
+
+// load is what the planner needs to know of an engine.
+func (f *Forwarder) load(c *call, address string, need int, careful bool) planner.Load {
+	rec := f.assessor.Record(c.ids[address])
+	used := (rec.Tokens + need) * max(f.cfg.Nodes(), 1) / sharers
+	full := float64(used) / float64(max(c.members.rooms[address], 1))
+	return planner.Load{
+		InFlight: rec.Requests,
+		Penalty:  fullPenalty*full*full + failureCost*rec.Failures,
+		Open:     careful && f.cfg.Now().Before(rec.Doubted),
+	}
+}
+
+const (
+	// fullPenalty is how many times dearer a step is at an engine whose room is
+	// taken.
+	fullPenalty = 4
+	// sharers is how many data centres share the nodes: each node gives most of
+	// its work to the engines of its own.
+	sharers = 3
+)
+
+// attempt sends the generation along a path and passes its events on. It tells
+// whether the stream came to its end.
+func (f *Forwarder) attempt(c *call, s *session, plan planner.Plan) (whole bool, err error) {
+	ctx, cancel := context.WithCancelCause(c.r.Context())
+	defer cancel(errEnded)
+	parts, ids := split(plan)
+	end := f.assessor.Begin(ids, c.tokens())
+	defer end()
+	s.start(parts, ids, cancel)
+	began := f.cfg.Now()
+	c.sends++
+	fw := f.forward(c, ids[0])
+	fw.Path, fw.Version = parts, s.version
+	reply, err := f.cfg.Relay.Send(ctx, parts[0].Address, fw)
+	if err != nil {
+		f.lost(ctx, c, s, err, began)
+		return false, err
+	}
+	defer reply.Body.Close()
+	if reply.NotRun {
+		return false, f.refusedBy(c, s, reply, began)
+	}
+	c.runs++
+	if reply.Status != http.StatusOK || !reply.Signed {
+		return f.passFailure(c, s, reply)
+	}
+	err = f.relay(ctx, c, s, reply)
+	if err == nil {
+		f.assessor.Succeeded(ids[0], f.cfg.Now().Sub(began))
+		return true, nil
+	}
+	f.lost(ctx, c, s, err, began)
+	return false, err
+}
+
+// split returns a plan's parts and the IDs of its endpoints.
+func split(plan planner.Plan) ([]driver.Part, []string) {
+	parts := make([]driver.Part, 0, len(plan))
+	ids := make([]string, 0, len(plan))
+	for _, stage := range plan {
+		parts = append(parts, driver.Part{Address: stage.Address, First: stage.First, Last: stage.Last})
+		ids = append(ids, stage.Incarnation)
+	}
+	return parts, ids
+}
+
+// lost takes in that an attempt ended without a whole answer.
+func (f *Forwarder) lost(ctx context.Context, c *call, s *session, err error, began time.Time) {
+	cause := context.Cause(ctx)
+	if c.r.Context().Err() != nil {
+		return
+	}
+	var unsent *driver.Unsent
+	if !errors.As(err, &unsent) && !c.answered && !errors.Is(cause, errStalled) {
+		c.runs++
+	}
+	if !errors.Is(cause, errStalled) {
+		// A stall has been put down to the endpoint at fault already.
+		f.assessor.Doubt(s.firstID(), doubtTime)
+		f.assessor.Failed(s.firstID())
+		c.tried[s.firstID()] = true
+	}
+	f.cfg.Recorder.Info(recorder.TryFailed,
+		zap.String("request", c.ID), zap.Strings("path", s.addresses()), zap.Int("send", c.sends),
+		zap.Int("events", s.count()), zap.Duration("took", f.cfg.Now().Sub(began)),
+		zap.NamedError("cause", cause), zap.Error(err))
+}
+
+// refusedBy takes in a refusal by an engine of the path.
+func (f *Forwarder) refusedBy(c *call, s *session, reply driver.Reply, began time.Time) error {
+	id, known := c.ids[reply.Fault]
+	if !known {
+		id = s.firstID()
+	}
+	wait := fullTime
+	if reply.Status == http.StatusMisdirectedRequest || f.cfg.Now().Sub(began) > time.Second {
+		wait = doubtTime
+	}
+	f.assessor.Doubt(id, wait)
+	c.tried[id] = true
+	f.cfg.Recorder.Info(recorder.TryFailed,
+		zap.String("request", c.ID), zap.Strings("path", s.addresses()), zap.Int("send", c.sends),
+		zap.Int("status", reply.Status), zap.String("fault", reply.Fault), zap.Bool("never", true),
+		zap.Duration("took", f.cfg.Now().Sub(began)))
+	return &driver.Refused{Reason: strconv.Itoa(reply.Status), Detail: reply.Fault}
+}
+
+// passFailure passes on an answer that is not a stream: the engine ran the
+// request and failed it.
+func (f *Forwarder) passFailure(c *call, s *session, reply driver.Reply) (bool, error) {
+	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferBytes))
+	if err != nil || c.answered || !showable(reply) || reply.Status < http.StatusMultipleChoices {
+		f.assessor.Failed(s.firstID())
+		return false, trace.ConnectionProblem(err, "answered %d", reply.Status)
+	}
+	c.copyHeader(reply)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	c.w.WriteHeader(reply.Status)
+	c.answered = true
+	_, _ = c.w.Write(body)
+	return true, nil
+}
+
+// relay passes the events of a stream on as they come, whole ones only.
+func (f *Forwarder) relay(ctx context.Context, c *call, s *session, reply driver.Reply) error {
+	r := bufio.NewReaderSize(reply.Body, streamBuffer)
+	out := http.NewResponseController(c.w)
+	var buf []byte
+	for {
+		e, err := nextEvent(r, buf)
+		if errors.Is(err, io.EOF) {
+			if !c.answered {
+				c.begin(f, s, reply)
+			}
+			return nil
+		}
+		if err != nil {
+			return trace.ConnectionProblem(err, "reading the stream")
+		}
+		buf = e.data
+		if ctx.Err() != nil {
+			return context.Cause(ctx)
+		}
+		if !c.answered {
+			c.begin(f, s, reply)
+		}
+		if _, err := c.w.Write(e.data); err != nil {
+			return trace.ConnectionProblem(err, "writing to the caller")
+		}
+		if err := out.Flush(); err != nil {
+			return trace.ConnectionProblem(err, "writing to the caller")
+		}
+		if e.id != "" {
+			c.After = e.id
+		}
+		s.progress(f.cfg.Now())
+	}
+}
+
+// begin writes the head of a stream's answer.
+func (c *call) begin(f *Forwarder, s *session, reply driver.Reply) {
+	c.copyHeader(reply)
+	c.w.WriteHeader(reply.Status)
+	c.answered = true
+	c.first = f.cfg.Now()
+	s.version = reply.Version
+}
+
+// addresses lists the path's addresses.
+func addresses(parts []driver.Part) []string {
+	all := make([]string, 0, len(parts))
+	for _, p := range parts {
+		all = append(all, p.Address)
+	}
+	return slices.Clip(all)
+}
--- a/internal/supervisor/listener/guard.go
+++ b/internal/supervisor/listener/guard.go
@@ -19,7 +19,7 @@
 		if r.ContentLength != 0 {
 			_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 		}
-		if limit := l.cfg.Limits.HeaderBytes; headerBytes(r) > limit {
+		if limit := l.cfg.Limits.HeaderBytes; HeaderBytes(r) > limit {
 			refusal := refuser.New(refuser.HeaderTooLarge, "the limit is %d bytes", limit)
 			l.refuse(w, r, wholeTruth(r, refusal))
 			return
@@ -28,8 +28,8 @@
 	})
 }
 
-// headerBytes is the size of a request's head as the protocol writes it.
-func headerBytes(r *http.Request) int {
+// HeaderBytes is the size of a request's head as the protocol writes it.
+func HeaderBytes(r *http.Request) int {
 	const (
 		separators = len("  \r\n") + len("Host: \r\n") + len("\r\n")
 		perLine    = len(": \r\n")
--- /dev/null
+++ b/internal/supervisor/relay.go
@@ -0,0 +1,291 @@
+package supervisor
+
+import (
+	"expvar"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+
+	"banyanquay/internal/chronometer"
+	"banyanquay/internal/counter"
+	"banyanquay/internal/driver"
+	"banyanquay/internal/grouper"
+	"banyanquay/internal/loader"
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/provider"
+	"banyanquay/internal/ranker"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/registrar"
+	"banyanquay/internal/supervisor/acceptor"
+	"banyanquay/internal/supervisor/announcer"
+	"banyanquay/internal/supervisor/arranger"
+	"banyanquay/internal/supervisor/elector"
+	"banyanquay/internal/supervisor/forwarder"
+	"banyanquay/internal/supervisor/forwarder/budgeter"
+	"banyanquay/internal/supervisor/linker"
+	"banyanquay/internal/supervisor/listener"
+	"banyanquay/internal/supervisor/syncer"
+	"banyanquay/internal/supervisor/tracker"
+)
+
+const (
+	// revokeMargin is how much sooner than required a key stops working when
+	// the configuration can't be confirmed.
+	revokeMargin = 200 * time.Millisecond
+	// memoryShare is the part of the memory limit that the runtime may use
+	// before it collects harder.
+	memoryShare = 0.7
+	// frontendHeaderTimeout and frontendIdleTimeout hold for callers whatever
+	// the configuration says: it is read only after the listener starts.
+	frontendHeaderTimeout = 5 * time.Second
+	frontendIdleTimeout   = time.Minute
+	// frontendHeaderBytes is above any limit of the configuration, whose
+	// refusal has a code.
+	frontendHeaderBytes = 128 << 10
+	// fewNodes is below how many nodes of a caller's data centre it is also
+	// given those of others.
+	fewNodes = 2
+	// mostAddresses is how many addresses a caller takes in.
+	mostAddresses = 64
+)
+
+// Platform is how the platform is spoken to. Its functions are safe for
+// concurrent use.
+type Platform struct {
+	Topics provider.Topics
+	Relay  driver.Relay
+	// ConfigTopic and ConfigKey name the configuration's record; the other
+	// topics have a record for each endpoint, each node and for the lead.
+	ConfigTopic   string
+	ConfigKey     string
+	EndpointTopic string
+	NodeTopic     string
+	LeadTopic     string
+	// Configuration, Entry and Request decode what the operator, endpoints and
+	// callers send.
+	Configuration func(data []byte) (*mapper.Configuration, error)
+	Entry         func(id string, data []byte) (registrar.Entry, error)
+	Request       func(r *http.Request, arrived time.Time) (forwarder.Request, error)
+	// Discovery serves callers that ask for addresses, and Readiness the
+	// platform that asks whether the node takes requests.
+	Discovery func(answer func(centre string) (addresses []string, ttl time.Duration)) http.Handler
+	Readiness func(ready func() bool) http.Handler
+}
+
+// RelayConfig is what a node before relaying endpoints needs.
+type RelayConfig struct {
+	Settings  loader.Settings
+	Logger    *zap.Logger
+	Counters  *counter.Set
+	Latencies *counter.Latencies
+	Platform  Platform
+}
+
+// relay is the parts of a node before relaying endpoints.
+type relay struct {
+	cfg       RelayConfig
+	identity  identity
+	clock     chronometer.Chronometer
+	recorder  *recorder.Recorder
+	gate      *listener.Gate
+	syncer    *syncer.Syncer
+	announcer *announcer.Announcer
+	linker    *linker.Linker
+	tracker   *tracker.Tracker
+	elector   *elector.Elector
+	arranger  *arranger.Arranger
+	forwarder *forwarder.Forwarder
+}
+
+// NewRelay composes a node before relaying endpoints that is not started yet.
+func NewRelay(cfg RelayConfig) *fx.App {
+	if mb := cfg.Settings.Relay.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
+	}
+	r := newRelay(cfg)
+	return fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(cfg.Settings.Stop.Deadline.Duration+stopMargin),
+		fx.Supply(cfg.Settings, r.identity, r.recorder, r.gate, r.tracker),
+		fx.Provide(func() root { return root{Root: r.root()} }),
+		fx.Invoke(supervise),
+	)
+}
+
+// newRelay makes the parts.
+func newRelay(cfg RelayConfig) *relay {
+	r := &relay{
+		cfg: cfg, identity: identity{incarnation: uuid.NewString()}, clock: chronometer.New(),
+		recorder: recorder.New(cfg.Logger), gate: listener.NewGate(),
+	}
+	s, p := cfg.Settings, cfg.Platform
+	r.syncer = syncer.New(syncer.Config{
+		Topics: p.Topics, ConfigTopic: p.ConfigTopic, ConfigKey: p.ConfigKey, EndpointTopic: p.EndpointTopic,
+		Configuration: p.Configuration, Entry: p.Entry, Now: r.clock.Now,
+		Recorder: r.recorder, Counters: cfg.Counters,
+	})
+	r.announcer = announcer.New(announcer.Config{
+		Topics: p.Topics, Topic: p.NodeTopic, Address: s.Address, Centre: s.Centre, Seeds: s.Relay.Seeds,
+		Now: r.clock.Now, Recorder: r.recorder,
+	})
+	r.members()
+	r.placing()
+	r.forwarder = forwarder.New(forwarder.Config{
+		Decode: p.Request, View: r.syncer.View, Endpoints: r.syncer.Table, Relay: p.Relay,
+		Budget: budgeter.New(budgeter.Config{
+			Ratio: s.Relay.RetryRatio, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow.Duration,
+			Nodes: r.nodes, Now: r.clock.Now,
+		}),
+		Centre: s.Centre, KeyAge: s.Relay.Revoke.Duration - revokeMargin, Nodes: r.nodes, Gate: r.gate,
+		Now: r.clock.Now, Seed: xxhash.Sum64String(r.identity.incarnation),
+		Recorder: r.recorder, Counters: cfg.Counters, Latency: cfg.Latencies,
+	})
+	return r
+}
+
+// members makes the links and the tracker of nodes.
+func (r *relay) members() {
+	s := r.cfg.Settings
+	r.linker = linker.New(linker.Config{
+		Address: s.Address, Incarnation: r.identity.incarnation, Secret: s.FleetSecret,
+		Recorder: r.recorder, Counters: r.cfg.Counters,
+	})
+	r.tracker = tracker.New(tracker.Config{
+		Address: s.Address, Centre: s.Centre, Incarnation: r.identity.incarnation,
+		List: r.announcer.List(), Links: r.linker, Recorder: r.recorder, Counters: r.cfg.Counters,
+		Now: r.clock.Now,
+	})
+}
+
+// placing makes the parts that order layers.
+func (r *relay) placing() {
+	p := r.cfg.Platform
+	r.elector = elector.New(elector.Config{
+		Topics: p.Topics, Topic: p.LeadTopic, Address: r.cfg.Settings.Address,
+		Incarnation: r.identity.incarnation, Alive: r.alive, Next: r.next,
+		Now: r.clock.Now, Recorder: r.recorder,
+	})
+	r.arranger = arranger.New(arranger.Config{
+		Configuration: func() *mapper.Configuration { return r.syncer.View().Configuration },
+		Endpoints:     r.syncer.Table, Report: p.Relay.Report, Place: p.Relay.Place,
+		Leads: r.elector.Leads, Confirm: r.elector.Confirm, Fenced: r.elector.Fenced,
+		Now: r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
+	})
+}
+
+// root lists the steps of the node.
+func (r *relay) root() grouper.Step {
+	return grouper.Group(
+		"node",
+		grouper.Group("edge", r.servers()...),
+		grouper.Group("flow", r.forwarder.Step()),
+		grouper.Group("store", r.syncer.Step(), r.announcer.Step()),
+		grouper.Group("members", r.linker.Step(), r.tracker.Step()),
+		grouper.Group("placement", r.elector.Step(), r.arranger.Step()),
+	)
+}
+
+// servers are the node's listeners.
+func (r *relay) servers() []grouper.Step {
+	s := r.cfg.Settings
+	links := http.NewServeMux()
+	links.Handle("GET "+linker.Path, r.linker.Handler())
+	steps := []grouper.Step{
+		acceptor.Step(acceptor.Config{
+			Name: "frontend", Address: s.Relay.Frontend, Handler: r.forwarder,
+			HeaderTimeout: frontendHeaderTimeout, IdleTimeout: frontendIdleTimeout, HeaderBytes: frontendHeaderBytes,
+		}),
+		acceptor.Step(acceptor.Config{
+			Name: "readiness", Address: s.Relay.Readiness, Handler: r.cfg.Platform.Readiness(r.ready),
+			HeaderTimeout: frontendHeaderTimeout, IdleTimeout: frontendIdleTimeout,
+		}),
+		acceptor.Step(acceptor.Config{
+			Name: "discovery", Address: s.Relay.Discovery, Handler: r.cfg.Platform.Discovery(r.addresses),
+			HeaderTimeout: frontendHeaderTimeout, IdleTimeout: frontendIdleTimeout,
+		}),
+		acceptor.Step(acceptor.Config{Name: "links", Address: s.Address, Handler: links, HeaderTimeout: frontendHeaderTimeout}),
+	}
+	if s.Relay.Metrics == "" {
+		return steps
+	}
+	return append(steps, acceptor.Step(acceptor.Config{
+		Name: "metrics", Address: s.Relay.Metrics, Handler: expvar.Handler(), HeaderTimeout: frontendHeaderTimeout,
+	}))
+}
+
+// ready tells whether the node takes requests.
+func (r *relay) ready() bool {
+	return r.syncer.Ready() && !r.gate.Leaving()
+}
+
+// nodes is how many nodes share the endpoints.
+func (r *relay) nodes() int {
+	n := 0
+	for _, node := range r.tracker.Nodes() {
+		if node.Live() {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
+// alive tells whether a process is alive as far as this node knows.
+func (r *relay) alive(address, incarnation string) bool {
+	for _, n := range r.tracker.Nodes() {
+		if n.Address == address {
+			return n.Live() && !n.Suspect && n.Incarnation == incarnation
+		}
+	}
+	return false
+}
+
+// next tells whether this node follows a holder of the lead that has ended.
+func (r *relay) next() bool {
+	var live []string
+	for _, n := range r.tracker.Nodes() {
+		if n.Live() && !n.Suspect {
+			live = append(live, n.Address)
+		}
+	}
+	first := ranker.Of("lead").Top(live, 1)
+	return slices.Contains(first, r.cfg.Settings.Address)
+}
+
+// addresses are the frontends that a caller of a data centre may use: those of
+// its own, and of all if it has few.
+func (r *relay) addresses(centre string) ([]string, time.Duration) {
+	_, port, err := net.SplitHostPort(r.cfg.Settings.Relay.Frontend)
+	if err != nil {
+		return nil, 0
+	}
+	var near, all []string
+	for _, n := range r.tracker.Nodes() {
+		if !n.Live() || n.Suspect {
+			continue
+		}
+		host, _, err := net.SplitHostPort(n.Address)
+		if err != nil {
+			continue
+		}
+		frontend := net.JoinHostPort(host, port)
+		all = append(all, frontend)
+		if n.Centre == centre {
+			near = append(near, frontend)
+		}
+	}
+	if len(near) >= fewNodes {
+		all = near
+	}
+	if len(all) > mostAddresses {
+		all = ranker.Of(r.identity.incarnation).Top(all, mostAddresses)
+	}
+	return all, r.cfg.Settings.Relay.DiscoveryTTL.Duration
+}
--- /dev/null
+++ b/internal/supervisor/syncer/syncer.go
@@ -0,0 +1,278 @@
+// Package syncer keeps this node's view of what lies in the platform's store:
+// the operator's configuration, with the age of its confirmation, and the
+// table of endpoints.
+package syncer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/grouper"
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/provider"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/registrar"
+	"banyanquay/internal/supervisor/forwarder"
+)
+
+const (
+	// confirmWait bounds the wait of a read of the configuration. Two waits and
+	// the store's answer stay well within the time in which a key that was
+	// taken away must stop working.
+	confirmWait = 1500 * time.Millisecond
+	// pollInterval is the time between two reads of the endpoints: half of the
+	// time in which a leaving endpoint must get no more work.
+	pollInterval = 900 * time.Millisecond
+	// lapseTime is how long entries stay that the store dropped around its own
+	// outage: living endpoints are back within two seconds of its return.
+	lapseTime = 2300 * time.Millisecond
+	// firstWait and lastWait bound the waits between failed calls.
+	firstWait = 60 * time.Millisecond
+	lastWait  = 700 * time.Millisecond
+)
+
+// Config is what a syncer needs.
+type Config struct {
+	Topics provider.Topics
+	// ConfigTopic and ConfigKey name the operator's configuration.
+	ConfigTopic string
+	ConfigKey   string
+	// EndpointTopic holds one record of each endpoint.
+	EndpointTopic string
+	// Configuration and Entry decode records.
+	Configuration func(data []byte) (*mapper.Configuration, error)
+	Entry         func(id string, data []byte) (registrar.Entry, error)
+	Now           func() time.Time
+	Recorder      *recorder.Recorder
+	Counters      *counter.Set
+}
+
+// Syncer follows the store.
+type Syncer struct {
+	cfg   Config
+	view  atomic.Pointer[forwarder.View]
+	table atomic.Pointer[registrar.Table]
+	// listed is set once the endpoints have been read.
+	listed atomic.Bool
+}
+
+// New returns a syncer that knows nothing yet.
+func New(cfg Config) *Syncer {
+	s := &Syncer{cfg: cfg}
+	s.view.Store(&forwarder.View{})
+	s.table.Store(&registrar.Table{})
+	return s
+}
+
+// View returns the configuration in force.
+func (s *Syncer) View() forwarder.View { return *s.view.Load() }
+
+// Table returns the endpoints.
+func (s *Syncer) Table() *registrar.Table { return s.table.Load() }
+
+// Ready tells whether both have been read.
+func (s *Syncer) Ready() bool {
+	return s.View().Configuration != nil && s.listed.Load()
+}
+
+// Step follows the store until its context ends.
+func (s *Syncer) Step() grouper.Step {
+	return grouper.Group("store",
+		grouper.Step{Name: "configuration", Run: s.followConfiguration},
+		grouper.Step{Name: "endpoints", Run: s.followEndpoints},
+	)
+}
+
+// outage records the loss and the return of a dependency, and paces the calls
+// in between.
+type outage struct {
+	recorder *recorder.Recorder
+	what     string
+	now      func() time.Time
+	failures int
+	// since is when the first call of a row of failures failed, and returned
+	// when the last row ended.
+	since    time.Time
+	returned time.Time
+}
+
+// failed takes in a failed call and returns how long to wait.
+func (o *outage) failed(err error) time.Duration {
+	if o.failures == 0 {
+		o.since = o.now()
+		o.recorder.Warn(recorder.StoreUnreachable, zap.String("what", o.what), zap.Error(err))
+	}
+	o.failures++
+	wait := min(firstWait<<min(o.failures, 10), lastWait)
+	return wait/2 + rand.N(wait/2+1)
+}
+
+// succeeded takes in a call that worked.
+func (o *outage) succeeded() {
+	if o.failures == 0 {
+		return
+	}
+	o.returned = o.now()
+	o.recorder.Info(recorder.StoreReachable, zap.String("what", o.what),
+		zap.Int("failures", o.failures), zap.Duration("away", o.returned.Sub(o.since)))
+	o.failures = 0
+}
+
+// followConfiguration keeps the view.
+func (s *Syncer) followConfiguration(ctx context.Context) error {
+	o := outage{recorder: s.cfg.Recorder, what: "configuration", now: s.cfg.Now}
+	known := false
+	var from provider.Offset
+	for ctx.Err() == nil {
+		asked := s.cfg.Now()
+		items, err := s.readConfiguration(ctx, known, from)
+		switch {
+		case errors.Is(err, provider.ErrCompacted):
+			known = false
+			continue
+		case err != nil && ctx.Err() == nil:
+			grouper.Sleep(ctx, o.failed(err))
+			continue
+		case err != nil:
+			return nil
+		}
+		o.succeeded()
+		s.applyConfiguration(items, asked)
+		known, from = true, items.End
+	}
+	return nil
+}
+
+// readConfiguration reads the newest record, or waits for one after it.
+func (s *Syncer) readConfiguration(ctx context.Context, known bool, from provider.Offset) (provider.Items, error) {
+	if !known {
+		return s.cfg.Topics.Newest(ctx, s.cfg.ConfigTopic)
+	}
+	return s.cfg.Topics.Follow(ctx, s.cfg.ConfigTopic, from, confirmWait)
+}
+
+// applyConfiguration takes in records up to the end of the topic as of a
+// moment after asked. A lower version never replaces a higher one.
+func (s *Syncer) applyConfiguration(items provider.Items, asked time.Time) {
+	view := s.View()
+	for _, it := range items.Items {
+		if it.Key != s.cfg.ConfigKey || len(it.Value) == 0 {
+			continue
+		}
+		cfg, err := s.cfg.Configuration(it.Value)
+		if err != nil {
+			s.cfg.Recorder.Error(recorder.ConfigBadRecord, zap.Uint64("offset", uint64(it.Offset)), zap.Error(err))
+			continue
+		}
+		if view.Configuration != nil && cfg.Version() <= view.Configuration.Version() {
+			continue
+		}
+		view.Configuration = cfg
+		s.cfg.Counters.Config.Add("applied", 1)
+		s.cfg.Recorder.Info(recorder.ConfigApplied,
+			zap.Int64("version", cfg.Version()), zap.Uint64("offset", uint64(it.Offset)))
+	}
+	if !items.More {
+		view.Confirmed = asked
+	}
+	s.view.Store(&view)
+}
+
+// followEndpoints keeps the table.
+func (s *Syncer) followEndpoints(ctx context.Context) error {
+	o := outage{recorder: s.cfg.Recorder, what: "endpoints", now: s.cfg.Now}
+	known := false
+	var from provider.Offset
+	for ctx.Err() == nil {
+		items, err := s.readEndpoints(ctx, known, from)
+		switch {
+		case errors.Is(err, provider.ErrCompacted):
+			known = false
+			continue
+		case err != nil && ctx.Err() == nil:
+			grouper.Sleep(ctx, o.failed(err))
+			continue
+		case err != nil:
+			return nil
+		}
+		o.succeeded()
+		s.applyEndpoints(items, !known, o.returned.Add(lapseTime))
+		known, from = true, items.End
+		if !items.More {
+			grouper.Sleep(ctx, pollInterval)
+		}
+	}
+	return nil
+}
+
+// readEndpoints reads all endpoints, or the records since.
+func (s *Syncer) readEndpoints(ctx context.Context, known bool, from provider.Offset) (provider.Items, error) {
+	if !known {
+		return s.cfg.Topics.Newest(ctx, s.cfg.EndpointTopic)
+	}
+	return s.cfg.Topics.Follow(ctx, s.cfg.EndpointTopic, from, 0)
+}
+
+// applyEndpoints takes in records, or the whole list if whole is set.
+func (s *Syncer) applyEndpoints(items provider.Items, whole bool, keepUntil time.Time) {
+	now := s.cfg.Now()
+	var changes []registrar.Change
+	var entries []registrar.Entry
+	for _, it := range items.Items {
+		change := registrar.Change{ID: it.Key}
+		if len(it.Value) > 0 {
+			e, err := s.cfg.Entry(it.Key, it.Value)
+			if err != nil {
+				s.cfg.Counters.Fleet.Add("endpoint_records_unreadable", 1)
+				change.Unreadable = true
+			} else {
+				change.Entry = &e
+				entries = append(entries, e)
+			}
+		}
+		changes = append(changes, change)
+	}
+	before := s.Table()
+	next := before.With(now, keepUntil, changes)
+	if whole {
+		next = before.Replaced(now, keepUntil, entries)
+	}
+	s.table.Store(&next)
+	s.listed.Store(true)
+	s.record(before, &next)
+}
+
+// record writes what became of endpoints.
+func (s *Syncer) record(before, after *registrar.Table) {
+	for _, e := range after.All() {
+		old, known := before.Get(e.ID)
+		switch {
+		case !known || !old.SameStart(e):
+			s.cfg.Recorder.Info(recorder.EndpointUp, entryFields(e)...)
+		case e.Leaving && !old.Leaving:
+			s.cfg.Recorder.Info(recorder.EndpointLeaving, entryFields(e)...)
+		case e.First != old.First || e.Last != old.Last:
+			s.cfg.Recorder.Info(recorder.EndpointHolds, entryFields(e)...)
+		}
+	}
+	for _, e := range before.All() {
+		if _, known := after.Get(e.ID); !known {
+			s.cfg.Recorder.Info(recorder.EndpointDown, entryFields(e)...)
+		}
+	}
+}
+
+// entryFields are an endpoint's fields in the log.
+func entryFields(e registrar.Entry) []zap.Field {
+	return []zap.Field{
+		zap.String("endpoint", e.ID), zap.String("address", e.Address), zap.String("service", e.Service),
+		zap.String("centre", e.Centre), zap.Int64("born", e.Born),
+		zap.Int("first", e.First), zap.Int("last", e.Last),
+	}
+}
