--- a/cmd/banyanquayd/main.go
+++ b/cmd/banyanquayd/main.go
@@ -54,7 +54,7 @@
 		return 2
 	}
 	defer stop()
-	return serve(compose(settings, logger))
+	return serve(compose(a.Settings, settings, logger))
 }
 
 // newLogger returns a logger and what writes its last lines.
@@ -67,7 +67,7 @@
 }
 
 // compose makes the node that the settings ask for.
-func compose(settings loader.Settings, logger *zap.Logger) *fx.App {
+func compose(path string, settings loader.Settings, logger *zap.Logger) *fx.App {
 	counters := counter.New()
 	counters.Publish()
 	if !settings.Relay.Enabled {
@@ -76,7 +76,7 @@
 	latencies := counter.NewLatencies()
 	latencies.Publish()
 	return supervisor.NewRelay(supervisor.RelayConfig{
-		Settings: settings, Logger: logger, Counters: counters, Latencies: latencies,
+		Settings: settings, Path: path, Logger: logger, Counters: counters, Latencies: latencies,
 		Platform: onPlatform(settings, counters),
 	})
 }
--- a/internal/supervisor/forwarder/budgeter/budgeter.go
+++ b/internal/supervisor/forwarder/budgeter/budgeter.go
@@ -17,11 +17,9 @@
 
 // Config sets a budget.
 type Config struct {
-	// Ratio is the repeats that one request allows.
-	Ratio float64
-	// Slack is the repeats that all nodes together may send in a window beside
-	// that.
-	Slack float64
+	// Limits returns the repeats that one request allows, and those that all
+	// nodes together may send in a window beside that.
+	Limits func() (ratio, slack float64)
 	// Window is the time over which both are counted.
 	Window time.Duration
 	// Nodes returns how many nodes share Slack.
@@ -84,8 +82,9 @@
 		requests += c.requests[n]
 		repeats += c.repeats[n]
 	}
-	slack := b.cfg.Slack / float64(max(b.cfg.Nodes(), 1))
-	if float64(repeats+1) > margin*(b.cfg.Ratio*float64(requests)+slack) {
+	ratio, slack := b.cfg.Limits()
+	share := slack / float64(max(b.cfg.Nodes(), 1))
+	if float64(repeats+1) > margin*(ratio*float64(requests)+share) {
 		return false
 	}
 	c.repeats[c.slot%slots]++
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -50,7 +50,7 @@
 	Centre string
 	// KeyAge is how old the configuration's confirmation may be for requests
 	// with a key.
-	KeyAge time.Duration
+	KeyAge func() time.Duration
 	// Nodes returns how many nodes share the endpoints.
 	Nodes    func() int
 	Gate     *listener.Gate
@@ -163,7 +163,7 @@
 		// The age is taken after the look-up: the caller sent the request
 		// before this moment, whatever happens to this process from here on.
 		c.confirmed = f.cfg.Now().Sub(view.Confirmed)
-		if c.confirmed > f.cfg.KeyAge {
+		if c.confirmed > f.cfg.KeyAge() {
 			return refuser.New(refuser.NotCaughtUp,
 				"the configuration was last confirmed %v ago", c.confirmed).WithWait(time.Second)
 		}
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -32,6 +32,7 @@
 	"banyanquay/internal/supervisor/forwarder/budgeter"
 	"banyanquay/internal/supervisor/linker"
 	"banyanquay/internal/supervisor/listener"
+	"banyanquay/internal/supervisor/reloader"
 	"banyanquay/internal/supervisor/syncer"
 	"banyanquay/internal/supervisor/tracker"
 )
@@ -82,7 +83,9 @@
 
 // RelayConfig is what a node before relaying endpoints needs.
 type RelayConfig struct {
-	Settings  loader.Settings
+	Settings loader.Settings
+	// Path is the file that the settings came from.
+	Path      string
 	Logger    *zap.Logger
 	Counters  *counter.Set
 	Latencies *counter.Latencies
@@ -103,6 +106,7 @@
 	elector   *elector.Elector
 	arranger  *arranger.Arranger
 	forwarder *forwarder.Forwarder
+	reloader  *reloader.Reloader
 }
 
 // NewRelay composes a node before relaying endpoints that is not started yet.
@@ -127,6 +131,7 @@
 		recorder: recorder.New(cfg.Logger), gate: listener.NewGate(),
 	}
 	s, p := cfg.Settings, cfg.Platform
+	r.reloader = reloader.New(reloader.Config{Path: cfg.Path, First: s, Recorder: r.recorder})
 	r.syncer = syncer.New(syncer.Config{
 		Topics: p.Topics, ConfigTopic: p.ConfigTopic, ConfigKey: p.ConfigKey, EndpointTopic: p.EndpointTopic,
 		Configuration: p.Configuration, Entry: p.Entry, Now: r.clock.Now,
@@ -141,10 +146,15 @@
 	r.forwarder = forwarder.New(forwarder.Config{
 		Decode: p.Request, View: r.syncer.View, Endpoints: r.syncer.Table, Relay: p.Relay,
 		Budget: budgeter.New(budgeter.Config{
-			Ratio: s.Relay.RetryRatio, Slack: s.Relay.RetrySlack, Window: s.Relay.RetryWindow.Duration,
-			Nodes: r.nodes, Now: r.clock.Now,
+			Window: s.Relay.RetryWindow.Duration, Nodes: r.nodes, Now: r.clock.Now,
+			Limits: func() (float64, float64) {
+				s := r.reloader.Settings().Relay
+				return s.RetryRatio, s.RetrySlack
+			},
 		}),
-		Centre: s.Centre, KeyAge: s.Relay.Revoke.Duration - revokeMargin, Nodes: r.nodes, Gate: r.gate,
+		Centre: s.Centre,
+		KeyAge: func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
+		Nodes:  r.nodes, Gate: r.gate,
 		Now: r.clock.Now, Seed: xxhash.Sum64String(r.identity.incarnation),
 		Recorder: r.recorder, Counters: cfg.Counters, Latency: cfg.Latencies,
 	})
@@ -188,6 +198,7 @@
 		grouper.Group("edge", r.servers()...),
 		grouper.Group("flow", r.forwarder.Step()),
 		grouper.Group("store", r.syncer.Step(), r.announcer.Step()),
+		grouper.Group("settings", r.reloader.Step()),
 		grouper.Group("members", r.linker.Step(), r.tracker.Step()),
 		grouper.Group("placement", r.elector.Step(), r.arranger.Step()),
 	)
@@ -287,5 +298,5 @@
 	if len(all) > mostAddresses {
 		all = ranker.Of(r.identity.incarnation).Top(all, mostAddresses)
 	}
-	return all, r.cfg.Settings.Relay.DiscoveryTTL.Duration
+	return all, r.reloader.Settings().Relay.DiscoveryTTL.Duration
 }
