Find stalled streams by probes, and move them

Cause: a stream whose path lost an engine waited 600 ms and was then resumed on paths that still used that engine, as nothing told which one was at fault. Now a silence of twice the stream's usual interval makes the node connect to each engine of the path; those that accept no connection are avoided, and the stream goes on along another path of the same first engine, or elsewhere.

Paths are found by a search that knows data centres (pather): before, a whole path in another data centre cost more than one that crosses twice.

--- a/internal/driver/relay.go
+++ b/internal/driver/relay.go
@@ -88,6 +88,8 @@
 	// Send forwards a request over a connection of its own. An *Unsent error
 	// means that nothing was written; after any other it may have run.
 	Send func(ctx context.Context, address string, f Forward) (Reply, error)
+	// Knock opens a connection and closes it unused.
+	Knock func(ctx context.Context, address string) error
 	// Report asks an engine for its state.
 	Report func(ctx context.Context, address, endpoint string) (Report, error)
 	// Place orders an engine to hold a range of layers. After an error other
--- a/internal/supervisor/forwarder/answer.go
+++ b/internal/supervisor/forwarder/answer.go
@@ -85,14 +85,14 @@
 }
 
 // done counts and records an answer that was delivered whole.
-func (f *Forwarder) done(c *call, code int, endpoint string) {
+func (f *Forwarder) done(c *call, code int, endpoint string, more ...zap.Field) {
 	now := f.cfg.Now()
 	f.cfg.Counters.Requests.Add("answered", 1)
 	f.cfg.Latency.Answers.Record(now.Sub(c.Arrived))
 	if !c.first.IsZero() {
 		f.cfg.Latency.FirstEvents.Record(c.first.Sub(c.Arrived))
 	}
-	f.cfg.Recorder.Info(recorder.RequestEnded,
+	f.cfg.Recorder.Info(recorder.RequestEnded, append(more,
 		zap.String("request", c.ID),
 		zap.String("route", c.route.Name),
 		zap.String("service", c.service),
@@ -104,5 +104,5 @@
 		zap.Int("sends", c.sends),
 		zap.Int("runs", c.runs),
 		zap.Duration("first", c.first.Sub(c.Arrived)),
-		zap.Duration("took", now.Sub(c.Arrived)))
+		zap.Duration("took", now.Sub(c.Arrived)))...)
 }
--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"banyanquay/internal/driver"
 	"banyanquay/internal/mapper"
 	"banyanquay/internal/registrar"
 )
@@ -23,13 +22,10 @@
 	service mapper.Service
 	// entries are those that are not leaving.
 	entries []registrar.Entry
-	// engines are the same for the planner, for services with layers.
-	engines []driver.Endpoint
-	// rooms is how many tokens fit at each address.
-	rooms map[string]int
+	// holders are those of them that hold layers.
+	holders []holder
 	// versions are the weights' versions in use, that of the most layers first.
 	versions []string
-	model    string
 }
 
 // newFleet joins a table of endpoints with what the configuration says of
@@ -46,7 +42,7 @@
 		}
 		m := f.services[e.Service]
 		if m == nil {
-			m = &members{service: service, rooms: make(map[string]int)}
+			m = &members{service: service}
 			f.services[e.Service] = m
 		}
 		f.ids[e.Address] = e.ID
@@ -68,17 +64,9 @@
 		return
 	}
 	kind, _ := engine.Accelerator(e.Accelerator)
-	perLayer := float64(engine.Step) * kind.Pace / float64(engine.Layers) / float64(time.Millisecond)
-	m.rooms[e.Address] = engine.Room(kind, e.Last-e.First)
-	m.model = e.Model
-	m.engines = append(m.engines, driver.Endpoint{
-		Address: e.Address, Centre: e.Centre,
-		Status: driver.Status{
-			Incarnation: e.ID, Accelerator: e.Accelerator, Slots: e.Slots, StepMillis: perLayer,
-			Holdings: []driver.Holding{{
-				Model: e.Model, Version: e.Version, First: e.First, Last: e.Last, Layers: engine.Layers,
-			}},
-		},
+	step := float64(engine.Step) * kind.Pace / float64(time.Millisecond)
+	m.holders = append(m.holders, holder{
+		entry: e, room: engine.Room(kind, e.Last-e.First), layer: step / float64(engine.Layers),
 	})
 }
 
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -18,7 +18,6 @@
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/registrar"
-	"banyanquay/internal/supervisor/dispatcher/planner"
 	"banyanquay/internal/supervisor/forwarder/assessor"
 	"banyanquay/internal/supervisor/forwarder/budgeter"
 	"banyanquay/internal/supervisor/listener"
@@ -51,11 +50,12 @@
 	// KeyAge is how old the configuration's confirmation may be for requests
 	// with a key.
 	KeyAge func() time.Duration
-	// Nodes returns how many nodes share the endpoints.
+	// Nodes returns how many nodes share the endpoints, and Near how many of
+	// them are in this node's data centre.
 	Nodes    func() int
+	Near     func() int
 	Gate     *listener.Gate
 	Now      func() time.Time
-	Seed     uint64
 	Recorder *recorder.Recorder
 	Counters *counter.Set
 	Latency  *counter.Latencies
@@ -65,25 +65,17 @@
 type Forwarder struct {
 	cfg      Config
 	assessor *assessor.Assessor
-	planner  *planner.Planner
+	prober   *prober
 	monitor  *monitor
 	current  atomic.Pointer[fleet]
 }
 
-// Costs of a hop between engines, for the choice of a path. The one to another
-// data centre is far above its delay: all crossings share one pipe, so that it
-// is taken only where the own data centre has no holder.
-const (
-	nearHop = 300 * time.Microsecond
-	farHop  = 40 * time.Millisecond
-)
-
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
 	f := &Forwarder{
 		cfg:      cfg,
 		assessor: assessor.New(cfg.Now),
-		planner:  planner.New(planner.Config{LocalRTT: nearHop, RemoteRTT: farHop, Seed: cfg.Seed}),
+		prober:   newProber(cfg.Relay.Knock, cfg.Now),
 	}
 	f.monitor = newMonitor(f)
 	return f
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -6,7 +6,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"time"
 
@@ -16,7 +15,7 @@
 	"banyanquay/internal/driver"
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
-	"banyanquay/internal/supervisor/dispatcher/planner"
+	"banyanquay/internal/supervisor/forwarder/pather"
 )
 
 const (
@@ -46,7 +45,7 @@
 	defer f.monitor.end(s)
 	var last error
 	for {
-		plan, err := f.path(c, s)
+		path, err := f.path(c, s.version)
 		if err != nil {
 			f.refuse(c, f.broken(c, err, last))
 			return
@@ -56,9 +55,9 @@
 			f.refuse(c, f.broken(c, refuser.New(refuser.RetryBudgetSpent, "no repeat left").WithWait(time.Second), last))
 			return
 		}
-		whole, err := f.attempt(c, s, plan)
+		whole, err := f.attempt(c, s, path)
 		if whole {
-			f.done(c, http.StatusOK, s.firstID())
+			f.finished(c, s)
 			return
 		}
 		last = err
@@ -117,69 +116,18 @@
 	return r
 }
 
-// path chooses the engines of the next attempt. Those that are in doubt are
-// used only where no others hold the layers.
-func (f *Forwarder) path(c *call, s *session) (planner.Plan, error) {
-	if len(c.members.versions) == 0 {
-		return nil, refuser.New(refuser.NoPipeline, "no engine of %s holds layers", c.service).WithWait(comeBack)
-	}
-	req := planner.Request{
-		Model: c.members.model, Version: c.members.versions[0], Centre: f.cfg.Centre,
-	}
-	if s.version != "" {
-		req.Version = s.version
-	}
-	for address, id := range c.ids {
-		if c.tried[id] {
-			req.Exclude = append(req.Exclude, address)
-		}
-	}
-	need := c.tokens()
-	careful := func(address string) planner.Load { return f.load(c, address, need, true) }
-	plan, err := f.planner.Choose(req, c.members.engines, careful)
-	if err == nil {
-		return plan, nil
-	}
-	return f.planner.Choose(req, c.members.engines, func(address string) planner.Load {
-		return f.load(c, address, need, false)
-	})
-}
-
-// load is what the planner needs to know of an engine.
-func (f *Forwarder) load(c *call, address string, need int, careful bool) planner.Load {
-	rec := f.assessor.Record(c.ids[address])
-	used := (rec.Tokens + need) * max(f.cfg.Nodes(), 1) / sharers
-	full := float64(used) / float64(max(c.members.rooms[address], 1))
-	return planner.Load{
-		InFlight: rec.Requests,
-		Penalty:  fullPenalty*full*full + failureCost*rec.Failures,
-		Open:     careful && f.cfg.Now().Before(rec.Doubted),
-	}
-}
-
-const (
-	// fullPenalty is how many times dearer a step is at an engine whose room is
-	// taken.
-	fullPenalty = 4
-	// sharers is how many data centres share the nodes: each node gives most of
-	// its work to the engines of its own.
-	sharers = 3
-)
-
 // attempt sends the generation along a path and passes its events on. It tells
 // whether the stream came to its end.
-func (f *Forwarder) attempt(c *call, s *session, plan planner.Plan) (whole bool, err error) {
+func (f *Forwarder) attempt(c *call, s *session, path []pather.Part) (whole bool, err error) {
 	ctx, cancel := context.WithCancelCause(c.r.Context())
 	defer cancel(errEnded)
-	parts, ids := split(plan)
-	end := f.assessor.Begin(ids, c.tokens())
-	defer end()
-	s.start(parts, ids, cancel)
+	s.start(path, cancel)
+	defer s.stop()
 	began := f.cfg.Now()
 	c.sends++
-	fw := f.forward(c, ids[0])
-	fw.Path, fw.Version = parts, s.version
-	reply, err := f.cfg.Relay.Send(ctx, parts[0].Address, fw)
+	fw := f.forward(c, path[0].ID)
+	fw.Path, fw.Version = wire(path), s.version
+	reply, err := f.cfg.Relay.Send(ctx, path[0].Address, fw)
 	if err != nil {
 		f.lost(ctx, c, s, err, began)
 		return false, err
@@ -194,22 +142,20 @@
 	}
 	err = f.relay(ctx, c, s, reply)
 	if err == nil {
-		f.assessor.Succeeded(ids[0], f.cfg.Now().Sub(began))
+		f.assessor.Succeeded(path[0].ID, f.cfg.Now().Sub(began))
 		return true, nil
 	}
 	f.lost(ctx, c, s, err, began)
 	return false, err
 }
 
-// split returns a plan's parts and the IDs of its endpoints.
-func split(plan planner.Plan) ([]driver.Part, []string) {
-	parts := make([]driver.Part, 0, len(plan))
-	ids := make([]string, 0, len(plan))
-	for _, stage := range plan {
-		parts = append(parts, driver.Part{Address: stage.Address, First: stage.First, Last: stage.Last})
-		ids = append(ids, stage.Incarnation)
-	}
-	return parts, ids
+// finished takes in a stream that came to its end.
+func (f *Forwarder) finished(c *call, s *session) {
+	state := s.look()
+	f.cfg.Latency.Pauses.Record(state.longest)
+	f.done(c, http.StatusOK, state.first().ID,
+		zap.Int("events", state.events), zap.Int("moves", state.moves),
+		zap.Duration("pause", state.longest), zap.Duration("interval", state.interval))
 }
 
 // lost takes in that an attempt ended without a whole answer.
@@ -224,30 +170,33 @@
 	}
 	if !errors.Is(cause, errStalled) {
 		// A stall has been put down to the endpoint at fault already.
-		f.assessor.Doubt(s.firstID(), doubtTime)
-		f.assessor.Failed(s.firstID())
-		c.tried[s.firstID()] = true
+		first := s.look().first()
+		f.doubt(first.ID, first.Address, doubtTime, "failed")
+		f.assessor.Failed(first.ID)
+		c.tried[first.ID] = true
 	}
+	state := s.look()
 	f.cfg.Recorder.Info(recorder.TryFailed,
-		zap.String("request", c.ID), zap.Strings("path", s.addresses()), zap.Int("send", c.sends),
-		zap.Int("events", s.count()), zap.Duration("took", f.cfg.Now().Sub(began)),
+		zap.String("request", c.ID), zap.Strings("path", addresses(state.path)), zap.Int("send", c.sends),
+		zap.Int("events", state.events), zap.Duration("took", f.cfg.Now().Sub(began)),
 		zap.NamedError("cause", cause), zap.Error(err))
 }
 
 // refusedBy takes in a refusal by an engine of the path.
 func (f *Forwarder) refusedBy(c *call, s *session, reply driver.Reply, began time.Time) error {
+	state := s.look()
 	id, known := c.ids[reply.Fault]
 	if !known {
-		id = s.firstID()
+		id = state.first().ID
 	}
 	wait := fullTime
 	if reply.Status == http.StatusMisdirectedRequest || f.cfg.Now().Sub(began) > time.Second {
 		wait = doubtTime
 	}
-	f.assessor.Doubt(id, wait)
+	f.doubt(id, reply.Fault, wait, "refused")
 	c.tried[id] = true
 	f.cfg.Recorder.Info(recorder.TryFailed,
-		zap.String("request", c.ID), zap.Strings("path", s.addresses()), zap.Int("send", c.sends),
+		zap.String("request", c.ID), zap.Strings("path", addresses(state.path)), zap.Int("send", c.sends),
 		zap.Int("status", reply.Status), zap.String("fault", reply.Fault), zap.Bool("never", true),
 		zap.Duration("took", f.cfg.Now().Sub(began)))
 	return &driver.Refused{Reason: strconv.Itoa(reply.Status), Detail: reply.Fault}
@@ -258,7 +207,7 @@
 func (f *Forwarder) passFailure(c *call, s *session, reply driver.Reply) (bool, error) {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferBytes))
 	if err != nil || c.answered || !showable(reply) || reply.Status < http.StatusMultipleChoices {
-		f.assessor.Failed(s.firstID())
+		f.assessor.Failed(s.look().first().ID)
 		return false, trace.ConnectionProblem(err, "answered %d", reply.Status)
 	}
 	c.copyHeader(reply)
@@ -313,12 +262,3 @@
 	c.first = f.cfg.Now()
 	s.version = reply.Version
 }
-
-// addresses lists the path's addresses.
-func addresses(parts []driver.Part) []string {
-	all := make([]string, 0, len(parts))
-	for _, p := range parts {
-		all = append(all, p.Address)
-	}
-	return slices.Clip(all)
-}
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -2,74 +2,44 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"banyanquay/internal/driver"
 	"banyanquay/internal/grouper"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/supervisor/forwarder/pather"
 )
 
-// monitorTick is the time between two looks at the streams in progress.
-const monitorTick = 20 * time.Millisecond
-
-// stallTime is the silence of a stream after which it is moved.
-const stallTime = 600 * time.Millisecond
-
-// session is one generation in progress.
-type session struct {
-	// version is that of the weights that the answer began with. It belongs
-	// to the request's goroutine.
-	version string
-
-	mu     sync.Mutex
-	parts  []driver.Part
-	ids    []string
-	cancel context.CancelCauseFunc
-	// last is when the attempt began or its last event came.
-	last time.Time
-	// events counts those of all attempts.
-	events int
-	now    func() time.Time
-}
-
-// start begins an attempt.
-func (s *session) start(parts []driver.Part, ids []string, cancel context.CancelCauseFunc) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.parts, s.ids, s.cancel, s.last = parts, ids, cancel, s.now()
-}
-
-// progress notes an event.
-func (s *session) progress(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.last = now
-	s.events++
-}
-
-// firstID is the ID of the path's first engine.
-func (s *session) firstID() string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.ids) == 0 {
-		return ""
-	}
-	return s.ids[0]
-}
-
-// addresses lists the path's addresses.
-func (s *session) addresses() []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return addresses(s.parts)
-}
-
-// count is the number of events so far.
-func (s *session) count() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.events
-}
+const (
+	// monitorTick is the time between two looks at the streams in progress.
+	monitorTick = 15 * time.Millisecond
+	// A stream is looked into after a silence of stallFactor usual intervals
+	// between events, within these bounds; before its first event, after
+	// firstPatience.
+	stallFactor   = 2
+	leastPatience = 60 * time.Millisecond
+	mostPatience  = 130 * time.Millisecond
+	firstPatience = 130 * time.Millisecond
+	// askAfter is the silence after which the path's first engine is asked
+	// what it waits for, if all engines of the path accept connections.
+	askAfter = 150 * time.Millisecond
+	// moveAfter is the silence after which a stream is moved though no engine
+	// is known to be at fault.
+	moveAfter = 900 * time.Millisecond
+	// lookAgain is the time between two looks into one stream.
+	lookAgain = 60 * time.Millisecond
+	// silentTime is how long an engine is avoided that accepted no connection.
+	silentTime = 3 * time.Second
+	// stalledTime is how long one is avoided that others wait for.
+	stalledTime = 2 * time.Second
+	// repathTimeout bounds an order to change a path.
+	repathTimeout = 150 * time.Millisecond
+)
 
 // monitor watches the streams in progress for those that stall.
 type monitor struct {
@@ -84,8 +54,8 @@
 }
 
 // begin adds a session.
-func (m *monitor) begin(*call) *session {
-	s := &session{now: m.f.cfg.Now, last: m.f.cfg.Now()}
+func (m *monitor) begin(c *call) *session {
+	s := &session{f: m.f, c: c}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.sessions[s] = true
@@ -94,6 +64,7 @@
 
 // end removes a session.
 func (m *monitor) end(s *session) {
+	s.stop()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.sessions, s)
@@ -115,16 +86,204 @@
 	}}
 }
 
-// look moves the streams that have stalled.
+// look finds the streams that have stalled.
 func (m *monitor) look(now time.Time) {
+	for _, s := range m.stalled(now) {
+		go m.rescue(s)
+	}
+}
+
+// stalled marks the streams to look into and returns them.
+func (m *monitor) stalled(now time.Time) []*session {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	var found []*session
 	for s := range m.sessions {
-		s.mu.Lock()
-		if s.cancel != nil && now.Sub(s.last) > stallTime {
-			s.cancel(errStalled)
-			s.last = now
+		if s.claim(now) {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+// claim marks a stream that is silent for too long, unless it is looked into
+// already.
+func (s *session) claim(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel == nil || s.rescuing || now.Before(s.next) || now.Sub(s.last) < s.patience() {
+		return false
+	}
+	s.rescuing = true
+	return true
+}
+
+// patience is how long a silence is usual. It needs the lock.
+func (s *session) patience() time.Duration {
+	if s.current == 0 {
+		return firstPatience
+	}
+	return min(max(stallFactor*s.interval, leastPatience), mostPatience)
+}
+
+// unclaim lets a stream be looked into again later.
+func (s *session) unclaim(wait time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rescuing = false
+	s.next = s.f.cfg.Now().Add(wait)
+}
+
+// rescue finds out what a stream waits for and moves it.
+func (m *monitor) rescue(s *session) {
+	defer s.unclaim(lookAgain)
+	state := s.look()
+	if state.cancel == nil || len(state.path) == 0 {
+		return
+	}
+	silence := m.f.cfg.Now().Sub(state.last)
+	bad := m.suspects(s, state, silence)
+	now := s.look()
+	if now.last != state.last || now.cancel == nil {
+		return // it went on, or ended
+	}
+	if len(bad) == 0 && silence < moveAfter {
+		return
+	}
+	m.f.cfg.Counters.Stages.Add("stalls", 1)
+	m.f.cfg.Recorder.Info(recorder.StreamStalled,
+		zap.String("request", s.c.ID), zap.Strings("path", addresses(state.path)), zap.Strings("suspects", bad),
+		zap.Duration("silence", silence), zap.Duration("interval", state.interval), zap.Int("events", state.events))
+	m.move(s, now, bad)
+}
+
+// suspects returns the addresses on a stream's path that are at fault.
+func (m *monitor) suspects(s *session, state snapshot, silence time.Duration) []string {
+	bad := m.f.prober.silent(addresses(state.path))
+	for _, p := range state.path {
+		if slices.Contains(bad, p.Address) {
+			m.f.doubt(p.ID, p.Address, silentTime, "silent")
+		}
+	}
+	if len(bad) > 0 || silence < askAfter {
+		return bad
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), repathTimeout)
+	defer cancel()
+	first := state.first()
+	report, err := m.f.cfg.Relay.Report(ctx, first.Address, first.ID)
+	if err != nil {
+		return nil
+	}
+	address, ok := report.Stalled[s.c.ID]
+	if !ok {
+		return nil
+	}
+	for _, p := range state.path {
+		if p.Address == address {
+			m.f.doubt(p.ID, address, stalledTime, "stalled")
+			return []string{address}
+		}
+	}
+	return nil
+}
+
+// doubt lets an engine be avoided for a while.
+func (f *Forwarder) doubt(id, address string, d time.Duration, why string) {
+	if !f.assessor.Doubtful(id) {
+		f.cfg.Counters.Stages.Add("doubts_"+why, 1)
+		f.cfg.Recorder.Info(recorder.EndpointDoubted,
+			zap.String("endpoint", id), zap.String("address", address), zap.String("why", why), zap.Duration("for", d))
+	}
+	f.assessor.Doubt(id, d)
+}
+
+// move takes a stream off the engines at fault: along another path of the same
+// first engine if one stays in its data centre, else from another first engine.
+func (m *monitor) move(s *session, state snapshot, bad []string) {
+	headBad := slices.Contains(bad, state.first().Address)
+	if !headBad && len(bad) > 0 {
+		if path, ok := m.detour(s, state, bad); ok && pather.Crossings(path) <= pather.Crossings(state.path) {
+			if m.repath(s, state, path) {
+				return
+			}
+		}
+	}
+	state.cancel(errStalled)
+}
+
+// detour returns another path with the same first part.
+func (m *monitor) detour(s *session, state snapshot, bad []string) ([]pather.Part, bool) {
+	members, ok := m.f.members(s.c.service)
+	if !ok {
+		return nil, false
+	}
+	head := state.first()
+	version := ""
+	for _, h := range members.holders {
+		if h.entry.ID == head.ID {
+			version = h.entry.Version
+		}
+	}
+	exclude := make(map[string]bool, len(bad))
+	for _, p := range state.path {
+		if slices.Contains(bad, p.Address) {
+			exclude[p.ID] = true
+		}
+	}
+	return m.f.find(choice{
+		members: members, version: version, need: s.c.tokens(), exclude: exclude, careful: true,
+		head: &head, kept: state.path,
+	})
+}
+
+// members returns a service's endpoints as known now.
+func (f *Forwarder) members(service string) (*members, bool) {
+	cfg := f.cfg.View().Configuration
+	if cfg == nil {
+		return nil, false
+	}
+	m, ok := f.fleet(cfg).services[service]
+	return m, ok && m.service.Engine != nil
+}
+
+// repath orders a stream's first engine to go on along a path, and tells
+// whether it does.
+func (m *monitor) repath(s *session, state snapshot, path []pather.Part) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), repathTimeout)
+	defer cancel()
+	head := state.first()
+	err := m.f.cfg.Relay.Repath(ctx, head.Address, head.ID, s.c.ID, wire(path))
+	m.f.cfg.Recorder.Info(recorder.PathChanged,
+		zap.String("request", s.c.ID), zap.Strings("from", addresses(state.path)), zap.Strings("to", addresses(path)),
+		zap.Int("events", state.events), zap.Error(err))
+	if err != nil {
+		m.f.cfg.Counters.Stages.Add("repaths_failed", 1)
+		var refused *driver.Refused
+		if errors.As(err, &refused) {
+			m.blame(path, refused.Detail)
+		}
+		return false
+	}
+	m.f.cfg.Counters.Stages.Add("repaths", 1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel == nil {
+		return true
+	}
+	if s.events > 0 && s.moved.IsZero() {
+		s.moved = s.last
+	}
+	s.moves++
+	s.follow(path)
+	return true
+}
+
+// blame doubts the part of a path that refused it.
+func (m *monitor) blame(path []pather.Part, address string) {
+	for _, p := range path {
+		if p.Address == address {
+			m.f.doubt(p.ID, address, fullTime, "refused")
 		}
-		s.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/internal/supervisor/forwarder/path.go
@@ -0,0 +1,139 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/refuser"
+	"banyanquay/internal/registrar"
+	"banyanquay/internal/supervisor/forwarder/pather"
+)
+
+// Costs of a path, in milliseconds a token. A whole path of engines takes some
+// ten.
+const (
+	// hopCost is a message between two engines of one data centre.
+	hopCost = 0.3
+	// awayCost is for a path in another data centre: the events cross once.
+	awayCost = 2
+	// crossingCost is for each crossing within a path: the activations of every
+	// token cross over a pipe that all paths share, so it is taken only where
+	// no data centre has a whole path.
+	crossingCost = 30
+	// fullCost is how many times dearer an engine is whose room is taken.
+	fullCost = 4
+	// overCost is how many times dearer one is that has no room for the request.
+	overCost = 40
+	// keepGain is the part of its cost by which an engine that already has a
+	// stream's memory is preferred when the stream's path changes.
+	keepGain = 0.7
+	// noise spreads equal choices.
+	noise = 0.05
+)
+
+// choice is what a path is chosen by.
+type choice struct {
+	members *members
+	version string
+	// need is the tokens that the request will hold.
+	need int
+	// exclude holds the IDs of engines that are not used.
+	exclude map[string]bool
+	// careful leaves out engines in doubt.
+	careful bool
+	// head and kept are set for a stream in progress: its first part, and the
+	// parts whose memory is kept.
+	head *pather.Part
+	kept []pather.Part
+}
+
+// find returns the best path for a choice.
+func (f *Forwarder) find(ch choice) ([]pather.Part, bool) {
+	engine := ch.members.service.Engine
+	req := pather.Request{
+		Layers: engine.Layers, Centre: f.cfg.Centre, Away: awayCost, Crossing: crossingCost, Head: ch.head,
+	}
+	now := f.cfg.Now()
+	near := max(f.cfg.Near(), 1)
+	for _, h := range ch.members.holders {
+		if h.entry.Version != ch.version || ch.exclude[h.entry.ID] {
+			continue
+		}
+		rec := f.assessor.Record(h.entry.ID)
+		if ch.careful && now.Before(rec.Doubted) {
+			continue
+		}
+		used := float64(rec.Tokens*near + ch.need)
+		full := used / float64(max(h.room, 1))
+		factor := 1 + fullCost*full*full + failureCost*rec.Failures + noise*rand.Float64()
+		if full > 1 {
+			factor += overCost
+		}
+		if slices.ContainsFunc(ch.kept, func(p pather.Part) bool { return p.Address == h.entry.Address }) {
+			factor *= 1 - keepGain
+		}
+		req.Engines = append(req.Engines, pather.Engine{
+			ID: h.entry.ID, Address: h.entry.Address, Centre: h.entry.Centre,
+			First: h.entry.First, Last: h.entry.Last, Hop: hopCost * factor, Layer: h.layer * factor,
+		})
+	}
+	return pather.Find(req)
+}
+
+// path returns the path of a request's next attempt. Engines in doubt are used
+// only where no others hold the layers.
+func (f *Forwarder) path(c *call, version string) ([]pather.Part, error) {
+	if version == "" {
+		if len(c.members.versions) == 0 {
+			return nil, refuser.New(refuser.NoPipeline, "no engine of %s holds layers", c.service).WithWait(comeBack)
+		}
+		version = c.members.versions[0]
+	}
+	ch := choice{members: c.members, version: version, need: c.tokens(), exclude: c.tried, careful: true}
+	if path, ok := f.find(ch); ok {
+		return path, nil
+	}
+	ch.careful = false
+	if path, ok := f.find(ch); ok {
+		return path, nil
+	}
+	return nil, refuser.New(refuser.NoPipeline,
+		"no cover of the layers of %s by %d engines", c.service, len(c.members.holders)).WithWait(comeBack)
+}
+
+// wire returns a path as an endpoint gets it.
+func wire(path []pather.Part) []driver.Part {
+	parts := make([]driver.Part, 0, len(path))
+	for _, p := range path {
+		parts = append(parts, driver.Part{Address: p.Address, First: p.First, Last: p.Last})
+	}
+	return parts
+}
+
+// ids lists the engines of a path.
+func ids(path []pather.Part) []string {
+	all := make([]string, 0, len(path))
+	for _, p := range path {
+		all = append(all, p.ID)
+	}
+	return all
+}
+
+// addresses lists the addresses of a path.
+func addresses(path []pather.Part) []string {
+	all := make([]string, 0, len(path))
+	for _, p := range path {
+		all = append(all, p.Address)
+	}
+	return all
+}
+
+// holder is an engine that holds layers.
+type holder struct {
+	entry registrar.Entry
+	// room is how many tokens fit beside the layers.
+	room int
+	// layer is the time of a token's step of one layer, in milliseconds.
+	layer float64
+}
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
@@ -154,8 +153,7 @@
 		}),
 		Centre: s.Centre,
 		KeyAge: func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
-		Nodes:  r.nodes, Gate: r.gate,
-		Now: r.clock.Now, Seed: xxhash.Sum64String(r.identity.incarnation),
+		Nodes:  r.nodes, Near: r.near, Gate: r.gate, Now: r.clock.Now,
 		Recorder: r.recorder, Counters: cfg.Counters, Latency: cfg.Latencies,
 	})
 	return r
@@ -248,6 +246,17 @@
 	return max(n, 1)
 }
 
+// near is how many of them are in this node's data centre.
+func (r *relay) near() int {
+	n := 0
+	for _, node := range r.tracker.Nodes() {
+		if node.Live() && node.Centre == r.cfg.Settings.Centre {
+			n++
+		}
+	}
+	return max(n, 1)
+}
+
 // alive tells whether a process is alive as far as this node knows.
 func (r *relay) alive(address, incarnation string) bool {
 	for _, n := range r.tracker.Nodes() {
