--- a/internal/supervisor/arranger/arranger.go
+++ b/internal/supervisor/arranger/arranger.go
@@ -28,8 +28,12 @@
 	settle = 700 * time.Millisecond
 	// roomRequests is for how many usual requests an engine keeps room beside
 	// its layers. A path's engine in a data centre with one holder of each layer
-	// sees all requests of the data centre.
-	roomRequests = 80
+	// sees all requests of the data centre, and half as many again while
+	// another data centre has no whole path.
+	roomRequests = 125
+	// leastRequests is the same where a data centre has no other way to hold
+	// all layers.
+	leastRequests = 42
 	// orderTime is how long an order is waited for beyond the load: the
 	// platform may carry one out late.
 	orderTime = 6 * time.Second
@@ -148,7 +152,10 @@
 // holder returns an engine as the plan sees it. One that was given an order
 // counts as holding the range until the order is reported or given up.
 func (a *Arranger) holder(now time.Time, engine *mapper.Engine, e registrar.Entry) Holder {
-	h := Holder{ID: e.ID, Centre: e.Centre, First: e.First, Last: e.Last, Capacity: capacity(engine, e.Accelerator)}
+	h := Holder{ID: e.ID, Centre: e.Centre, First: e.First, Last: e.Last,
+		Capacity: capacity(engine, e.Accelerator, roomRequests),
+		Most:     capacity(engine, e.Accelerator, leastRequests),
+	}
 	o, ok := a.orders[e.ID]
 	switch {
 	case !ok:
@@ -160,9 +167,9 @@
 	return h
 }
 
-// capacity is how many layers an engine may hold and still have room for
-// roomRequests; at least as many as fit if that leaves hardly any.
-func capacity(engine *mapper.Engine, kind string) int {
+// capacity is how many layers an engine may hold and still have room for a
+// number of usual requests; one if that leaves hardly any.
+func capacity(engine *mapper.Engine, kind string, requests int) int {
 	accelerator, ok := engine.Accelerator(kind)
 	if !ok || engine.LayerMB <= 0 {
 		return 0
@@ -170,7 +177,7 @@
 	most := min(int(math.Floor(accelerator.MB/engine.LayerMB)), engine.Layers)
 	usual := max(engine.Prompt+engine.Answer, 1)
 	for n := most; n > 1; n-- {
-		if engine.Room(accelerator, n) >= roomRequests*usual {
+		if engine.Room(accelerator, n) >= requests*usual {
 			return n
 		}
 	}
--- a/internal/supervisor/arranger/plan.go
+++ b/internal/supervisor/arranger/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -9,8 +10,10 @@
 type Holder struct {
 	ID     string
 	Centre string
-	// Capacity is how many layers it may hold.
+	// Capacity is how many layers it may hold with room for many requests, and
+	// Most how many it may hold where its data centre lacks holders.
 	Capacity int
+	Most     int
 	// First and Last bound the layers that it holds or was ordered to hold.
 	First int
 	Last  int
@@ -97,7 +100,30 @@
 		p.count(h, 1)
 		ranges = append(ranges, r)
 	}
-	return append(ranges, p.moves(holders)...)
+	ranges = append(ranges, p.moves(holders)...)
+	return append(ranges, p.tiles(holders, ranges)...)
+}
+
+// tiles lays out anew the data centres in which a layer has no holder still.
+func (p *plan) tiles(holders []Holder, given []Range) []Range {
+	var ranges []Range
+	for _, centre := range slices.Sorted(maps.Keys(p.centres)) {
+		if !slices.Contains(p.centres[centre], 0) {
+			continue
+		}
+		var engines []Holder
+		for _, h := range holders {
+			if h.Centre != centre {
+				continue
+			}
+			if at := slices.IndexFunc(given, func(r Range) bool { return r.ID == h.ID }); at >= 0 {
+				h.First, h.Last, h.Fixed = given[at].First, given[at].Last, true
+			}
+			engines = append(engines, h)
+		}
+		ranges = append(ranges, tile(p.layers, engines)...)
+	}
+	return ranges
 }
 
 // turns orders the empty engines: the data centres by turns, the largest
--- /dev/null
+++ b/internal/supervisor/arranger/plan_test.go
@@ -0,0 +1,119 @@
+package arranger
+
+import (
+	"fmt"
+	"testing"
+)
+
+// fleet returns the engines of one data centre.
+func fleet(centre string, big, mid, small int) []Holder {
+	var holders []Holder
+	add := func(kind string, n, capacity, most int) {
+		for i := range n {
+			holders = append(holders, Holder{
+				ID: fmt.Sprintf("%s-%s-%d", centre, kind, i), Centre: centre, Capacity: capacity, Most: most,
+			})
+		}
+	}
+	add("big", big, 15, 18)
+	add("mid", mid, 9, 10)
+	add("small", small, 6, 7)
+	return holders
+}
+
+// apply gives ranges to holders.
+func apply(holders []Holder, ranges []Range) []Holder {
+	next := append([]Holder(nil), holders...)
+	for _, r := range ranges {
+		for i := range next {
+			if next[i].ID == r.ID {
+				next[i].First, next[i].Last = r.First, r.Last
+			}
+		}
+	}
+	return next
+}
+
+// gaps counts the layers of a data centre without a holder.
+func gaps(layers int, centre string, holders []Holder) int {
+	n := 0
+	for l := range layers {
+		held := false
+		for _, h := range holders {
+			held = held || (h.Centre == centre && h.First <= l && l < h.Last)
+		}
+		if !held {
+			n++
+		}
+	}
+	return n
+}
+
+// without returns the holders but one.
+func without(holders []Holder, id string) []Holder {
+	var rest []Holder
+	for _, h := range holders {
+		if h.ID != id {
+			rest = append(rest, h)
+		}
+	}
+	return rest
+}
+
+// three are three data centres, of which the last can hold hardly more than
+// all layers once.
+func three() []Holder {
+	all := append(fleet("a", 2, 5, 8), fleet("b", 1, 7, 5)...)
+	return append(all, fleet("c", 2, 3, 5)...)
+}
+
+func TestPlanHoldsAllLayersInEachCentre(t *testing.T) {
+	holders := three()
+	holders = apply(holders, Plan(80, holders))
+	for _, centre := range []string{"a", "b", "c"} {
+		if got, want := gaps(80, centre, holders), 0; got != want {
+			t.Errorf("layers without a holder in %s: got %d, want %d", centre, got, want)
+		}
+	}
+	for _, h := range holders {
+		if got, want := h.Last-h.First, h.Capacity; got > want {
+			t.Errorf("%s: got %d layers, want at most %d", h.ID, got, want)
+		}
+	}
+	if got := Plan(80, holders); len(got) > 0 {
+		t.Errorf("plan of what is held already: got %v, want none", got)
+	}
+}
+
+// The pattern: one engine of a data centre leaves for good or crashes, and the
+// others must hold its layers within the memory that they have.
+func TestPlanRepairsAnyLoss(t *testing.T) {
+	holders := three()
+	holders = apply(holders, Plan(80, holders))
+	for _, lost := range holders {
+		left := without(holders, lost.ID)
+		ranges := Plan(80, left)
+		after := apply(left, ranges)
+		if got, want := gaps(80, lost.Centre, after), 0; got != want {
+			t.Errorf("without %s (%d to %d): got %d layers without a holder, want %d; ordered %v",
+				lost.ID, lost.First, lost.Last, got, want, ranges)
+		}
+		for _, h := range after {
+			if got, want := h.Last-h.First, h.Most; got > want {
+				t.Errorf("without %s: %s got %d layers, want at most %d", lost.ID, h.ID, got, want)
+			}
+		}
+	}
+}
+
+func TestPlanLeavesFixedEnginesAlone(t *testing.T) {
+	holders := three()
+	holders = apply(holders, Plan(80, holders))
+	left := without(holders, "c-big-0")
+	for i := range left {
+		left[i].Fixed = left[i].Centre == "c"
+	}
+	if got := Plan(80, left); len(got) > 0 {
+		t.Errorf("got %v, want no order while each engine has one in progress", got)
+	}
+}
--- a/internal/supervisor/forwarder/assessor/assessor.go
+++ b/internal/supervisor/forwarder/assessor/assessor.go
@@ -59,6 +59,19 @@
 	return r
 }
 
+// Tokens returns the tokens in progress by endpoint, of those with any.
+func (a *Assessor) Tokens() map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	tokens := make(map[string]int, len(a.records))
+	for id, r := range a.records {
+		if r.Tokens > 0 {
+			tokens[id] = r.Tokens
+		}
+	}
+	return tokens
+}
+
 // Doubtful tells whether an endpoint is avoided now.
 func (a *Assessor) Doubtful(id string) bool {
 	a.mu.Lock()
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -52,8 +52,13 @@
 	KeyAge func() time.Duration
 	// Nodes returns how many nodes share the endpoints, and Near how many of
 	// them are in this node's data centre.
-	Nodes    func() int
-	Near     func() int
+	Nodes func() int
+	Near  func() int
+	// Others returns the tokens that other nodes have in progress at an engine,
+	// and how many of them have told so of late.
+	Others func(endpoint string) (tokens, nodes int)
+	// Silent tells the other nodes of an engine that accepts no connection.
+	Silent   func(endpoint string)
 	Gate     *listener.Gate
 	Now      func() time.Time
 	Recorder *recorder.Recorder
@@ -81,6 +86,21 @@
 	return f
 }
 
+// Loads returns the tokens in progress by endpoint.
+func (f *Forwarder) Loads() map[string]int { return f.assessor.Tokens() }
+
+// Suspect takes in that another node found an endpoint silent: this node tries
+// it too.
+func (f *Forwarder) Suspect(id string) {
+	if e, ok := f.cfg.Endpoints().Get(id); ok && !f.assessor.Doubtful(id) {
+		go func() {
+			if len(f.prober.silent([]string{e.Address})) > 0 {
+				f.doubt(e.ID, e.Address, silentTime, whySilent)
+			}
+		}()
+	}
+}
+
 // call is one caller's request on its way.
 type call struct {
 	Request
@@ -201,8 +221,13 @@
 	return nil
 }
 
-// rank is the request's rank among those that wait at an endpoint.
+// rank is the request's rank among those that wait at an endpoint. A stream
+// that goes on elsewhere is the most urgent: its caller waits for the next
+// event, not for the first.
 func (c *call) rank() int {
+	if c.answered {
+		return 0
+	}
 	rank := c.route.Priority
 	if c.organisation.Ranked {
 		rank = c.organisation.Priority
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -17,11 +17,11 @@
 
 const (
 	// monitorTick is the time between two looks at the streams in progress.
-	monitorTick = 15 * time.Millisecond
+	monitorTick = 10 * time.Millisecond
 	// A stream is looked into after a silence of stallFactor usual intervals
 	// between events, within these bounds; before its first event, after
 	// firstPatience.
-	stallFactor   = 2
+	stallFactor   = 1.7
 	leastPatience = 60 * time.Millisecond
 	mostPatience  = 130 * time.Millisecond
 	firstPatience = 130 * time.Millisecond
@@ -32,7 +32,9 @@
 	// is known to be at fault.
 	moveAfter = 900 * time.Millisecond
 	// lookAgain is the time between two looks into one stream.
+	// and grows with each look that finds nothing.
 	lookAgain = 60 * time.Millisecond
+	lookLast  = 500 * time.Millisecond
 	// silentTime is how long an engine is avoided that accepted no connection.
 	silentTime = 3 * time.Second
 	// stalledTime is how long one is avoided that others wait for.
@@ -45,12 +47,13 @@
 type monitor struct {
 	f *Forwarder
 
+	reports  *reporter
 	mu       sync.Mutex
 	sessions map[*session]bool
 }
 
 func newMonitor(f *Forwarder) *monitor {
-	return &monitor{f: f, sessions: make(map[*session]bool)}
+	return &monitor{f: f, reports: newReporter(f.cfg.Relay.Report, f.cfg.Now), sessions: make(map[*session]bool)}
 }
 
 // begin adds a session.
@@ -123,20 +126,21 @@
 	if s.current == 0 {
 		return firstPatience
 	}
-	return min(max(stallFactor*s.interval, leastPatience), mostPatience)
+	return min(max(time.Duration(stallFactor*float64(s.interval)), leastPatience), mostPatience)
 }
 
 // unclaim lets a stream be looked into again later.
-func (s *session) unclaim(wait time.Duration) {
+func (s *session) unclaim() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rescuing = false
-	s.next = s.f.cfg.Now().Add(wait)
+	s.next = s.f.cfg.Now().Add(min(lookAgain<<min(s.looks, 10), lookLast))
+	s.looks++
 }
 
 // rescue finds out what a stream waits for and moves it.
 func (m *monitor) rescue(s *session) {
-	defer s.unclaim(lookAgain)
+	defer s.unclaim()
 	state := s.look()
 	if state.cancel == nil || len(state.path) == 0 {
 		return
@@ -162,20 +166,14 @@
 	bad := m.f.prober.silent(addresses(state.path))
 	for _, p := range state.path {
 		if slices.Contains(bad, p.Address) {
-			m.f.doubt(p.ID, p.Address, silentTime, "silent")
+			m.f.doubt(p.ID, p.Address, silentTime, whySilent)
 		}
 	}
 	if len(bad) > 0 || silence < askAfter {
 		return bad
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), repathTimeout)
-	defer cancel()
 	first := state.first()
-	report, err := m.f.cfg.Relay.Report(ctx, first.Address, first.ID)
-	if err != nil {
-		return nil
-	}
-	address, ok := report.Stalled[s.c.ID]
+	address, ok := m.reports.stalled(first.Address, first.ID, s.c.ID)
 	if !ok {
 		return nil
 	}
@@ -194,10 +192,16 @@
 		f.cfg.Counters.Stages.Add("doubts_"+why, 1)
 		f.cfg.Recorder.Info(recorder.EndpointDoubted,
 			zap.String("endpoint", id), zap.String("address", address), zap.String("why", why), zap.Duration("for", d))
+		if why == whySilent {
+			f.cfg.Silent(id)
+		}
 	}
 	f.assessor.Doubt(id, d)
 }
 
+// whySilent is the reason of a doubt that the other nodes are told of.
+const whySilent = "silent"
+
 // move takes a stream off the engines at fault: along another path of the same
 // first engine if one stays in its data centre, else from another first engine.
 func (m *monitor) move(s *session, state snapshot, bad []string) {
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 
@@ -21,15 +22,19 @@
 	// token cross over a pipe that all paths share, so it is taken only where
 	// no data centre has a whole path.
 	crossingCost = 30
-	// fullCost is how many times dearer an engine is whose room is taken.
-	fullCost = 4
+	// fullCost is how many times dearer an engine is whose room is taken, and
+	// fullPower how late that begins to count.
+	fullCost  = 6
+	fullPower = 4
 	// overCost is how many times dearer one is that has no room for the request.
 	overCost = 40
 	// keepGain is the part of its cost by which an engine that already has a
 	// stream's memory is preferred when the stream's path changes.
 	keepGain = 0.7
-	// noise spreads equal choices.
+	// noise spreads equal choices, and burst those of streams that all move at
+	// the same moment over the data centres.
 	noise = 0.05
+	burst = 0.4
 )
 
 // choice is what a path is chosen by.
@@ -46,6 +51,8 @@
 	// parts whose memory is kept.
 	head *pather.Part
 	kept []pather.Part
+	// moving is set for a stream that begins anew, beside many others.
+	moving bool
 }
 
 // find returns the best path for a choice.
@@ -55,7 +62,7 @@
 		Layers: engine.Layers, Centre: f.cfg.Centre, Away: awayCost, Crossing: crossingCost, Head: ch.head,
 	}
 	now := f.cfg.Now()
-	near := max(f.cfg.Near(), 1)
+	centres := make(map[string]float64)
 	for _, h := range ch.members.holders {
 		if h.entry.Version != ch.version || ch.exclude[h.entry.ID] {
 			continue
@@ -64,12 +71,17 @@
 		if ch.careful && now.Before(rec.Doubted) {
 			continue
 		}
-		used := float64(rec.Tokens*near + ch.need)
-		full := used / float64(max(h.room, 1))
-		factor := 1 + fullCost*full*full + failureCost*rec.Failures + noise*rand.Float64()
+		full := float64(f.used(h.entry.ID, rec.Tokens)+ch.need) / float64(max(h.room, 1))
+		factor := 1 + fullCost*math.Pow(full, fullPower) + failureCost*rec.Failures + noise*rand.Float64()
 		if full > 1 {
 			factor += overCost
 		}
+		if ch.moving {
+			if centres[h.entry.Centre] == 0 {
+				centres[h.entry.Centre] = 1 + burst*rand.Float64()
+			}
+			factor *= centres[h.entry.Centre]
+		}
 		if slices.ContainsFunc(ch.kept, func(p pather.Part) bool { return p.Address == h.entry.Address }) {
 			factor *= 1 - keepGain
 		}
@@ -81,6 +93,13 @@
 	return pather.Find(req)
 }
 
+// used is how many tokens all nodes have in progress at an engine. Nodes that
+// have not told of theirs count as this one, if they are near.
+func (f *Forwarder) used(id string, own int) int {
+	others, told := f.cfg.Others(id)
+	return own + others + own*max(f.cfg.Near()-1-told, 0)
+}
+
 // path returns the path of a request's next attempt. Engines in doubt are used
 // only where no others hold the layers.
 func (f *Forwarder) path(c *call, version string) ([]pather.Part, error) {
@@ -90,7 +109,7 @@
 		}
 		version = c.members.versions[0]
 	}
-	ch := choice{members: c.members, version: version, need: c.tokens(), exclude: c.tried, careful: true}
+	ch := choice{members: c.members, version: version, need: c.tokens(), exclude: c.tried, careful: true, moving: c.answered}
 	if path, ok := f.find(ch); ok {
 		return path, nil
 	}
--- a/internal/supervisor/forwarder/prober.go
+++ b/internal/supervisor/forwarder/prober.go
@@ -8,8 +8,8 @@
 
 const (
 	// knockTimeout is how long an engine may take to accept a connection: some
-	// thirty times the round trip between data centres.
-	knockTimeout = 40 * time.Millisecond
+	// fifteen times the round trip between data centres.
+	knockTimeout = 20 * time.Millisecond
 	// knockFresh is how long a result is used again.
 	knockFresh = 100 * time.Millisecond
 )
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -35,6 +35,8 @@
 	// it may do so again.
 	rescuing bool
 	next     time.Time
+	// looks counts the looks since the last event.
+	looks int
 	// moved is when the last event before a change of the path came; zero if
 	// events have come since.
 	moved time.Time
@@ -52,7 +54,7 @@
 	if s.events > 0 && s.moved.IsZero() {
 		s.moved = s.last
 	}
-	s.cancel, s.current, s.last, s.next = cancel, 0, now, now
+	s.cancel, s.current, s.last, s.next, s.looks = cancel, 0, now, now, 0
 	s.follow(path)
 }
 
@@ -98,6 +100,7 @@
 	s.last = now
 	s.events++
 	s.current++
+	s.looks, s.next = 0, now
 }
 
 // snapshot is a session's state at one moment. It is an immutable value.
--- a/internal/supervisor/linker/linker.go
+++ b/internal/supervisor/linker/linker.go
@@ -34,6 +34,10 @@
 const (
 	Nodes TopicID = iota + 1
 	Endpoints
+	Engines
+
+	// lastTopic is the highest number in use.
+	lastTopic = Engines
 )
 
 // Subject says whom a question is for, the same at all nodes.
--- a/internal/supervisor/linker/session.go
+++ b/internal/supervisor/linker/session.go
@@ -155,7 +155,7 @@
 func (s *session) send(due bool) (sent bool, err error) {
 	l := s.owner
 	var frame Frame
-	for id := Nodes; id <= Endpoints; id++ {
+	for id := Nodes; id <= lastTopic; id++ {
 		topic, ok := l.topics[id]
 		if !ok {
 			continue
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -33,6 +33,7 @@
 	"banyanquay/internal/supervisor/listener"
 	"banyanquay/internal/supervisor/reloader"
 	"banyanquay/internal/supervisor/syncer"
+	"banyanquay/internal/supervisor/teller"
 	"banyanquay/internal/supervisor/tracker"
 )
 
@@ -102,6 +103,7 @@
 	announcer *announcer.Announcer
 	linker    *linker.Linker
 	tracker   *tracker.Tracker
+	teller    *teller.Teller
 	elector   *elector.Elector
 	arranger  *arranger.Arranger
 	forwarder *forwarder.Forwarder
@@ -142,6 +144,11 @@
 	})
 	r.members()
 	r.placing()
+	r.teller = teller.New(teller.Config{
+		Links: r.linker, Now: r.clock.Now,
+		Loads:   func() map[string]int { return r.forwarder.Loads() },
+		Suspect: func(id string) { r.forwarder.Suspect(id) },
+	})
 	r.forwarder = forwarder.New(forwarder.Config{
 		Decode: p.Request, View: r.syncer.View, Endpoints: r.syncer.Table, Relay: p.Relay,
 		Budget: budgeter.New(budgeter.Config{
@@ -153,7 +160,7 @@
 		}),
 		Centre: s.Centre,
 		KeyAge: func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
-		Nodes:  r.nodes, Near: r.near, Gate: r.gate, Now: r.clock.Now,
+		Nodes:  r.nodes, Near: r.near, Others: r.teller.Others, Silent: r.teller.Silent, Gate: r.gate, Now: r.clock.Now,
 		Recorder: r.recorder, Counters: cfg.Counters, Latency: cfg.Latencies,
 	})
 	return r
@@ -197,7 +204,7 @@
 		grouper.Group("flow", r.forwarder.Step()),
 		grouper.Group("store", r.syncer.Step(), r.announcer.Step()),
 		grouper.Group("settings", r.reloader.Step()),
-		grouper.Group("members", r.linker.Step(), r.tracker.Step()),
+		grouper.Group("members", r.linker.Step(), r.tracker.Step(), r.teller.Step()),
 		grouper.Group("placement", r.elector.Step(), r.arranger.Step()),
 	)
 }
--- /dev/null
+++ b/internal/supervisor/teller/teller.go
@@ -0,0 +1,202 @@
+// Package teller tells the other nodes what this node knows of endpoints: the
+// work that it has in progress there, and those that it found silent.
+package teller
+
+import (
+	"context"
+	"hash/fnv"
+	"slices"
+	"sync"
+	"time"
+
+	"banyanquay/internal/encoder"
+	"banyanquay/internal/grouper"
+	"banyanquay/internal/supervisor/linker"
+)
+
+const (
+	// interval is the time between two tellings of loads over one link.
+	interval = 300 * time.Millisecond
+	// stale is the age at which another node's loads no longer count.
+	stale = 1500 * time.Millisecond
+	// unit is the unit in which tokens in progress are told.
+	unit = 64
+	// mostLoads bounds the loads of one telling.
+	mostLoads = 512
+)
+
+// Load is the work that one node has in progress at an endpoint.
+type Load struct {
+	_ struct{} `cbor:",toarray"`
+	// ID is the short name of the endpoint.
+	ID uint32
+	// Units is the tokens in progress.
+	Units uint16
+}
+
+// message is what one node tells another.
+type message struct {
+	// Loads are those above zero; all of the sender's.
+	Loads []Load `cbor:"1,keyasint,omitempty"`
+	// Told is set if Loads is meant, also if it is empty.
+	Told bool `cbor:"2,keyasint,omitempty"`
+	// Silent are endpoints that accept no connection of the sender.
+	Silent []string `cbor:"3,keyasint,omitempty"`
+}
+
+// Config is what a teller needs.
+type Config struct {
+	Links *linker.Linker
+	// Loads returns this node's tokens in progress by endpoint.
+	Loads func() map[string]int
+	// Suspect is told of an endpoint that another node found silent. It must
+	// not block.
+	Suspect func(endpoint string)
+	Now     func() time.Time
+}
+
+// peer is what was told over one link.
+type peer struct {
+	address string
+	loads   map[uint32]int
+	heard   time.Time
+	// told is when the loads were last told to it, and silent what waits to
+	// be told.
+	told   time.Time
+	silent []string
+}
+
+// Teller tells and hears. It is safe for concurrent use.
+type Teller struct {
+	cfg Config
+
+	mu    sync.Mutex
+	peers map[string]*peer
+}
+
+// New returns a teller and registers it at the links.
+func New(cfg Config) *Teller {
+	t := &Teller{cfg: cfg, peers: make(map[string]*peer)}
+	cfg.Links.Register(linker.Engines, linker.Topic{
+		LinkUp:   t.linkUp,
+		LinkDown: t.linkDown,
+		Flush:    t.flush,
+		Receive:  t.receive,
+	})
+	return t
+}
+
+// Step tells the loads at each interval until its context ends.
+func (t *Teller) Step() grouper.Step {
+	return grouper.Step{Name: "teller", Run: func(ctx context.Context) error {
+		for grouper.Sleep(ctx, interval) {
+			t.cfg.Links.Kick()
+		}
+		return nil
+	}}
+}
+
+// short is the short name of an endpoint.
+func short(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
+
+// Others returns the tokens that other nodes have in progress at an endpoint,
+// and how many nodes have told of their loads of late.
+func (t *Teller) Others(id string) (tokens, nodes int) {
+	key, now := short(id), t.cfg.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := make([]string, 0, len(t.peers))
+	for _, p := range t.peers {
+		if now.Sub(p.heard) > stale || slices.Contains(seen, p.address) {
+			continue
+		}
+		seen = append(seen, p.address)
+		tokens += p.loads[key] * unit
+	}
+	return tokens, len(seen)
+}
+
+// Silent tells the others of an endpoint that this node found silent.
+func (t *Teller) Silent(id string) {
+	t.mu.Lock()
+	for _, p := range t.peers {
+		if !slices.Contains(p.silent, id) {
+			p.silent = append(p.silent, id)
+		}
+	}
+	t.mu.Unlock()
+	t.cfg.Links.Kick()
+}
+
+func (t *Teller) linkUp(link linker.Link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers[link.ID] = &peer{address: link.Address}
+}
+
+func (t *Teller) linkDown(link linker.Link) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.peers, link.ID)
+}
+
+// flush returns what a peer has to be told.
+func (t *Teller) flush(link linker.Link) []byte {
+	now := t.cfg.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[link.ID]
+	if p == nil {
+		return nil
+	}
+	var m message
+	m.Silent, p.silent = p.silent, nil
+	if now.Sub(p.told) >= interval {
+		p.told = now
+		m.Loads, m.Told = t.loads(), true
+	}
+	if !m.Told && len(m.Silent) == 0 {
+		return nil
+	}
+	body, err := encoder.CBOR(m)
+	if err != nil {
+		return nil // numbers and strings always encode
+	}
+	return body
+}
+
+// loads returns this node's loads as they are told.
+func (t *Teller) loads() []Load {
+	var loads []Load
+	for id, tokens := range t.cfg.Loads() {
+		if units := min((tokens+unit-1)/unit, 1<<16-1); units > 0 && len(loads) < mostLoads {
+			loads = append(loads, Load{ID: short(id), Units: uint16(units)})
+		}
+	}
+	return loads
+}
+
+// receive takes what a peer told.
+func (t *Teller) receive(link linker.Link, body []byte) {
+	m, err := encoder.FromCBOR[message](body)
+	if err != nil {
+		return // a peer of another build; its loads count as unknown
+	}
+	now := t.cfg.Now()
+	t.mu.Lock()
+	if p := t.peers[link.ID]; p != nil && m.Told {
+		p.heard = now
+		p.loads = make(map[uint32]int, len(m.Loads))
+		for _, l := range m.Loads {
+			p.loads[l.ID] += int(l.Units)
+		}
+	}
+	t.mu.Unlock()
+	for _, id := range m.Silent {
+		t.cfg.Suspect(id)
+	}
+}
