--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -217,7 +217,7 @@
 			LoadTimeout: span(10 * time.Minute),
 		},
 		Relay: Relay{
-			DiscoveryTTL: span(2 * time.Second),
+			DiscoveryTTL: span(time.Second),
 			Revoke:       span(5 * time.Second),
 			RetryRatio:   0.2,
 			RetrySlack:   100,
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -65,6 +65,8 @@
 	{StoreReachable, "The platform's store answers again.", "Nothing."},
 	{EndpointHolds, "An endpoint reports other layers than before.", "Nothing."},
 	{EndpointDoubted, "An endpoint gets no new work for a while, since work given to it failed or stalled.", "Look at the endpoint if it is doubted often."},
+	{LearntFromNode, "The platform's store does not answer this node, and another node told what it knows, with its age.", "Check the way from this node to the store."},
+	{EndpointSlow, "An engine reports that it is slower than usual; paths avoid it where they can.", "Look at the engine if it stays slow."},
 	{LeaseTaken, "This node gives orders to endpoints from now on.", "Nothing."},
 	{LeaseLost, "Another node gives the orders now.", "Nothing; look at this node if it happens often."},
 	{LoadBegun, "An endpoint was chosen to load layers or adapters.", "Nothing."},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -80,6 +80,8 @@
 	StoreReachable                      // platform's store reachable again
 	EndpointHolds                       // endpoint holds other layers
 	EndpointDoubted                     // endpoint doubted
+	LearntFromNode                      // learnt from another node what the store did not tell
+	EndpointSlow                        // endpoint slow
 )
 
 // Events of the placement.
--- a/internal/supervisor/arranger/arranger.go
+++ b/internal/supervisor/arranger/arranger.go
@@ -34,6 +34,9 @@
 	// leastRequests is the same where a data centre has no other way to hold
 	// all layers.
 	leastRequests = 42
+	// uselessPace is from which pace on an engine doesn't count as a holder of
+	// its layers: it can't read the prompts of its data centre any more.
+	uselessPace = 3
 	// orderTime is how long an order is waited for beyond the load: the
 	// platform may carry one out late.
 	orderTime = 6 * time.Second
@@ -48,6 +51,9 @@
 	Endpoints     func() *registrar.Table
 	Report        func(ctx context.Context, address, endpoint string) (driver.Report, error)
 	Place         func(ctx context.Context, address, endpoint string, p driver.Placement) error
+	// Pace is how many times slower than usual an engine is; 0 if it is not
+	// known to be.
+	Pace func(endpoint string) float64
 	// Leads tells whether this node gives orders, and Confirm asks the store.
 	Leads    func() bool
 	Confirm  func(ctx context.Context) (fence uint64, ok bool)
@@ -134,7 +140,7 @@
 	var holders []Holder
 	entries := make(map[string]registrar.Entry)
 	for _, e := range table.All() {
-		if e.Service != service.Name || e.Leaving {
+		if e.Service != service.Name || e.Leaving || a.cfg.Pace(e.ID) >= uselessPace {
 			continue
 		}
 		entries[e.ID] = e
--- a/internal/supervisor/forwarder/assessor/assessor.go
+++ b/internal/supervisor/forwarder/assessor/assessor.go
@@ -29,6 +29,21 @@
 	at time.Time
 	// Doubted is until when the endpoint is avoided.
 	Doubted time.Time
+	// Pace is how many times slower than usual the endpoint was when it was
+	// last asked, and Paced when that was.
+	Pace  float64
+	Paced time.Time
+}
+
+// paceFresh is how long a pace counts: slow spells last seconds.
+const paceFresh = 2500 * time.Millisecond
+
+// Slowness returns the pace as it counts now; 1 is usual.
+func (r Record) Slowness(now time.Time) float64 {
+	if r.Pace <= 1 || now.Sub(r.Paced) > paceFresh {
+		return 1
+	}
+	return r.Pace
 }
 
 // failures returns the failure rate as it counts now.
@@ -79,6 +94,29 @@
 	return a.now().Before(a.records[id].Doubted)
 }
 
+// Paced takes in an endpoint's pace.
+func (a *Assessor) Paced(id string, pace float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.records[id]
+	r.Pace, r.Paced = pace, a.now()
+	a.records[id] = r
+}
+
+// Slow returns the pace of the endpoints that are slower than a bound.
+func (a *Assessor) Slow(bound float64) map[string]float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.now()
+	slow := make(map[string]float64)
+	for id, r := range a.records {
+		if pace := r.Slowness(now); pace > bound {
+			slow[id] = pace
+		}
+	}
+	return slow
+}
+
 // Begin counts work at endpoints as in progress until the function returned is
 // called; more than once has no effect.
 func (a *Assessor) Begin(ids []string, tokens int) (end func()) {
--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"slices"
 	"time"
 
 	"banyanquay/internal/mapper"
@@ -13,8 +14,6 @@
 	table         *registrar.Table
 	configuration *mapper.Configuration
 	services      map[string]*members
-	// ids has the ID of the endpoint at each address.
-	ids map[string]string
 }
 
 // members are the endpoints of one service.
@@ -33,9 +32,9 @@
 func newFleet(table *registrar.Table, cfg *mapper.Configuration) *fleet {
 	f := &fleet{
 		table: table, configuration: cfg,
-		services: make(map[string]*members), ids: make(map[string]string),
+		services: make(map[string]*members),
 	}
-	for _, e := range table.All() {
+	for _, e := range newest(table.All()) {
 		service, ok := cfg.Service(e.Service)
 		if !ok {
 			continue
@@ -45,7 +44,6 @@
 			m = &members{service: service}
 			f.services[e.Service] = m
 		}
-		f.ids[e.Address] = e.ID
 		if !e.Leaving {
 			m.add(e)
 		}
@@ -56,6 +54,16 @@
 	return f
 }
 
+// newest returns the entries without those whose address a later start has
+// taken.
+func newest(entries []registrar.Entry) []registrar.Entry {
+	born := make(map[string]int64, len(entries))
+	for _, e := range entries {
+		born[e.Address] = max(born[e.Address], e.Born)
+	}
+	return slices.DeleteFunc(entries, func(e registrar.Entry) bool { return e.Born < born[e.Address] })
+}
+
 // add adds an endpoint.
 func (m *members) add(e registrar.Entry) {
 	m.entries = append(m.entries, e)
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -101,6 +101,9 @@
 	}
 }
 
+// elsewhere is when a caller may come back whom this node alone can't serve.
+const elsewhere = 10 * time.Millisecond
+
 // call is one caller's request on its way.
 type call struct {
 	Request
@@ -111,7 +114,6 @@
 	service      string
 	organisation mapper.Organisation
 	members      *members
-	ids          map[string]string
 	// confirmed is the age of the configuration's confirmation at the check.
 	confirmed time.Duration
 	version   int64
@@ -133,16 +135,20 @@
 	c := &call{w: w, r: r, Request: Request{Arrived: arrived}, tried: make(map[string]bool)}
 	leave, err := f.cfg.Gate.Enter()
 	defer leave()
-	if err != nil {
-		w.Header().Set("Connection", "close")
-		f.refuse(c, asRefusal(err))
-		return
-	}
 	if f.cfg.Gate.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
-	if err := f.admit(c); err != nil {
-		f.refuse(c, asRefusal(err))
+	if err == nil {
+		err = f.admit(c)
+	}
+	if err != nil {
+		r := asRefusal(err)
+		if r.Code == refuser.NotCaughtUp || r.Code == refuser.Leaving {
+			// Another node can serve the caller: it shouldn't stay here.
+			w.Header().Set("Connection", "close")
+			r = r.WithWait(elsewhere)
+		}
+		f.refuse(c, r)
 		return
 	}
 	f.cfg.Budget.Request(c.service)
@@ -157,7 +163,7 @@
 func (f *Forwarder) admit(c *call) error {
 	view := f.cfg.View()
 	if view.Configuration == nil {
-		return refuser.New(refuser.NotCaughtUp, "no configuration has been read").WithWait(time.Second)
+		return refuser.New(refuser.NotCaughtUp, "no configuration has been read")
 	}
 	if err := f.read(c, view.Configuration.Limits()); err != nil {
 		return err
@@ -177,7 +183,7 @@
 		c.confirmed = f.cfg.Now().Sub(view.Confirmed)
 		if c.confirmed > f.cfg.KeyAge() {
 			return refuser.New(refuser.NotCaughtUp,
-				"the configuration was last confirmed %v ago", c.confirmed).WithWait(time.Second)
+				"the configuration was last confirmed %v ago", c.confirmed)
 		}
 		if !ok {
 			return refuser.New(refuser.UnknownKey, "the key is not in configuration %d", c.version)
@@ -188,7 +194,6 @@
 	}
 	c.service = route.Service(xxhash.Sum64String(c.ID))
 	fleet := f.fleet(cfg)
-	c.ids = fleet.ids
 	c.members = fleet.services[c.service]
 	if c.members == nil {
 		return refuser.New(refuser.NoEndpoint, "service %s has no endpoint", c.service).WithWait(time.Second)
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -185,9 +185,11 @@
 // refusedBy takes in a refusal by an engine of the path.
 func (f *Forwarder) refusedBy(c *call, s *session, reply driver.Reply, began time.Time) error {
 	state := s.look()
-	id, known := c.ids[reply.Fault]
-	if !known {
-		id = state.first().ID
+	id := state.first().ID
+	for _, p := range state.path {
+		if p.Address == reply.Fault {
+			id = p.ID
+		}
 	}
 	wait := fullTime
 	if reply.Status == http.StatusMisdirectedRequest || f.cfg.Now().Sub(began) > time.Second {
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -78,12 +78,16 @@
 	return grouper.Step{Name: "monitor", Run: func(ctx context.Context) error {
 		tick := time.NewTicker(monitorTick)
 		defer tick.Stop()
+		watch := time.NewTicker(watchInterval)
+		defer watch.Stop()
 		for {
 			select {
 			case <-ctx.Done():
 				return nil
 			case <-tick.C:
 				f.monitor.look(f.cfg.Now())
+			case <-watch.C:
+				f.monitor.watch()
 			}
 		}
 	}}
@@ -172,18 +176,64 @@
 	if len(bad) > 0 || silence < askAfter {
 		return bad
 	}
-	first := state.first()
-	address, ok := m.reports.stalled(first.Address, first.ID, s.c.ID)
-	if !ok {
-		return nil
-	}
+	reports := m.reports.reports(state.path)
 	for _, p := range state.path {
-		if p.Address == address {
-			m.f.doubt(p.ID, address, stalledTime, "stalled")
-			return []string{address}
+		if pace := reports[p.ID].Pace; pace > slowPace {
+			m.f.slow(p, pace)
+			bad = append(bad, p.Address)
 		}
 	}
-	return nil
+	if address, ok := reports[state.first().ID].Stalled[s.c.ID]; ok {
+		for _, p := range state.path {
+			if p.Address == address {
+				m.f.doubt(p.ID, address, stalledTime, "stalled")
+				return []string{address}
+			}
+		}
+	}
+	return bad
+}
+
+// slow takes in that an engine is slow.
+func (f *Forwarder) slow(p pather.Part, pace float64) {
+	if f.assessor.Record(p.ID).Slowness(f.cfg.Now()) == 1 {
+		f.cfg.Counters.Stages.Add("slow", 1)
+		f.cfg.Recorder.Info(recorder.EndpointSlow,
+			zap.String("endpoint", p.ID), zap.String("address", p.Address), zap.Float64("pace", pace))
+	}
+	f.assessor.Paced(p.ID, pace)
+}
+
+// slowPace is from which pace on an engine counts as slow.
+const slowPace = 1.8
+
+// watchInterval is the time between two questions to a slow engine.
+const watchInterval = 1200 * time.Millisecond
+
+// watch asks the engines that are slow again, so that their recovery is seen.
+func (m *monitor) watch() {
+	for id := range m.f.assessor.Slow(slowPace) {
+		e, ok := m.f.cfg.Endpoints().Get(id)
+		if !ok {
+			continue
+		}
+		go func() {
+			part := pather.Part{ID: e.ID, Address: e.Address}
+			if r, ok := m.reports.reports([]pather.Part{part})[e.ID]; ok {
+				m.f.assessor.Paced(e.ID, max(r.Pace, 1))
+			}
+		}()
+	}
+}
+
+// Paces returns the paces of slow engines by ID.
+func (f *Forwarder) Paces() map[string]float64 { return f.assessor.Slow(slowPace) }
+
+// Paced takes in what another node says of an engine's pace.
+func (f *Forwarder) Paced(id string, pace float64) {
+	if e, ok := f.cfg.Endpoints().Get(id); ok {
+		f.slow(pather.Part{ID: e.ID, Address: e.Address}, pace)
+	}
 }
 
 // doubt lets an engine be avoided for a while.
@@ -213,7 +263,35 @@
 			}
 		}
 	}
-	state.cancel(errStalled)
+	if m.better(s, state) {
+		state.cancel(errStalled)
+	}
+}
+
+// better tells whether a stream would begin anew on a path that is cheaper than
+// its own by far, or whose own has an engine that doesn't answer.
+func (m *monitor) better(s *session, state snapshot) bool {
+	now := m.f.cfg.Now()
+	slowest := 1.0
+	for _, p := range state.path {
+		if m.f.assessor.Doubtful(p.ID) {
+			return true
+		}
+		slowest = max(slowest, m.f.assessor.Record(p.ID).Slowness(now))
+	}
+	members, ok := m.f.members(s.c.service)
+	if !ok || len(members.versions) == 0 {
+		return false
+	}
+	path, ok := m.f.find(choice{members: members, version: members.versions[0], need: s.c.tokens(), careful: true, moving: true})
+	if !ok {
+		return false
+	}
+	other := 1.0
+	for _, p := range path {
+		other = max(other, m.f.assessor.Record(p.ID).Slowness(now))
+	}
+	return other < slowest || path[0].Address != state.first().Address
 }
 
 // detour returns another path with the same first part.
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -87,7 +87,8 @@
 		}
 		req.Engines = append(req.Engines, pather.Engine{
 			ID: h.entry.ID, Address: h.entry.Address, Centre: h.entry.Centre,
-			First: h.entry.First, Last: h.entry.Last, Hop: hopCost * factor, Layer: h.layer * factor,
+			First: h.entry.First, Last: h.entry.Last, Hop: hopCost * factor,
+			Layer: h.layer * factor * rec.Slowness(now),
 		})
 	}
 	return pather.Find(req)
--- a/internal/supervisor/forwarder/reporter.go
+++ b/internal/supervisor/forwarder/reporter.go
@@ -6,14 +6,15 @@
 	"time"
 
 	"banyanquay/internal/driver"
+	"banyanquay/internal/supervisor/forwarder/pather"
 )
 
 const (
 	// reportTimeout bounds a question to an engine.
 	reportTimeout = 150 * time.Millisecond
 	// reportFresh is how long a report is used again: an engine's own figures
-	// are some hundred milliseconds old.
-	reportFresh = 250 * time.Millisecond
+	// are some hundred milliseconds old, and each report is paid for.
+	reportFresh = 500 * time.Millisecond
 )
 
 // inquiry is the last report of an engine.
@@ -39,16 +40,21 @@
 	return &reporter{ask: ask, now: now, inquiries: make(map[string]*inquiry)}
 }
 
-// stalled returns the address that a request waits for at an engine, and
-// whether it waits for one.
-func (r *reporter) stalled(address, endpoint, request string) (string, bool) {
-	q := r.begin(address, endpoint)
-	<-q.done
-	if q.err != nil {
-		return "", false
+// reports asks engines at once and returns their reports by ID, of those that
+// answer.
+func (r *reporter) reports(path []pather.Part) map[string]driver.Report {
+	asked := make([]*inquiry, 0, len(path))
+	for _, p := range path {
+		asked = append(asked, r.begin(p.Address, p.ID))
 	}
-	at, ok := q.report.Stalled[request]
-	return at, ok
+	reports := make(map[string]driver.Report, len(path))
+	for i, q := range asked {
+		<-q.done
+		if q.err == nil {
+			reports[path[i].ID] = q.report
+		}
+	}
+	return reports
 }
 
 // begin returns a recent inquiry, or a new one.
--- a/internal/supervisor/linker/linker.go
+++ b/internal/supervisor/linker/linker.go
@@ -47,6 +47,7 @@
 const (
 	Drains Subject = iota + 1
 	Ledger
+	Store
 )
 
 // Linker holds the links of one node.
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -1,7 +1,9 @@
 package supervisor
 
 import (
+	"context"
 	"expvar"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -41,6 +43,9 @@
 	// revokeMargin is how much sooner than required a key stops working when
 	// the configuration can't be confirmed.
 	revokeMargin = 200 * time.Millisecond
+	// killMargin is how long before the platform kills a stopping node it ends by
+	// itself.
+	killMargin = 700 * time.Millisecond
 	// memoryShare is the part of the memory limit that the runtime may use
 	// before it collects harder.
 	memoryShare = 0.7
@@ -115,6 +120,9 @@
 	if mb := cfg.Settings.Relay.MemoryMB; mb > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(mb) * (1 << 20)))
 	}
+	if deadline := &cfg.Settings.Stop.Deadline; deadline.Duration > 2*killMargin {
+		deadline.Duration -= killMargin
+	}
 	r := newRelay(cfg)
 	return fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -136,6 +144,10 @@
 	r.syncer = syncer.New(syncer.Config{
 		Topics: p.Topics, ConfigTopic: p.ConfigTopic, ConfigKey: p.ConfigKey, EndpointTopic: p.EndpointTopic,
 		Configuration: p.Configuration, Entry: p.Entry, Now: r.clock.Now,
+		Peers: r.peers,
+		Ask: func(ctx context.Context, address string, question []byte) ([]byte, error) {
+			return r.linker.Ask(ctx, address, linker.Store, question)
+		},
 		Recorder: r.recorder, Counters: cfg.Counters,
 	})
 	r.announcer = announcer.New(announcer.Config{
@@ -148,6 +160,8 @@
 		Links: r.linker, Now: r.clock.Now,
 		Loads:   func() map[string]int { return r.forwarder.Loads() },
 		Suspect: func(id string) { r.forwarder.Suspect(id) },
+		Paces:   func() map[string]float64 { return r.forwarder.Paces() },
+		Paced:   func(id string, pace float64) { r.forwarder.Paced(id, pace) },
 	})
 	r.forwarder = forwarder.New(forwarder.Config{
 		Decode: p.Request, View: r.syncer.View, Endpoints: r.syncer.Table, Relay: p.Relay,
@@ -173,6 +187,7 @@
 		Address: s.Address, Incarnation: r.identity.incarnation, Secret: s.FleetSecret,
 		Recorder: r.recorder, Counters: r.cfg.Counters,
 	})
+	r.linker.Answer(linker.Store, r.syncer.Answer)
 	r.tracker = tracker.New(tracker.Config{
 		Address: s.Address, Centre: s.Centre, Incarnation: r.identity.incarnation,
 		List: r.announcer.List(), Links: r.linker, Recorder: r.recorder, Counters: r.cfg.Counters,
@@ -191,6 +206,7 @@
 	r.arranger = arranger.New(arranger.Config{
 		Configuration: func() *mapper.Configuration { return r.syncer.View().Configuration },
 		Endpoints:     r.syncer.Table, Report: p.Relay.Report, Place: p.Relay.Place,
+		Pace:  func(id string) float64 { return r.forwarder.Paces()[id] },
 		Leads: r.elector.Leads, Confirm: r.elector.Confirm, Fenced: r.elector.Fenced,
 		Now: r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
 	})
@@ -253,6 +269,19 @@
 	return max(n, 1)
 }
 
+// peers are the nodes to ask for what the store doesn't tell, those of other
+// data centres in between: they may reach it where the own one doesn't.
+func (r *relay) peers() []string {
+	var live []string
+	for _, n := range r.tracker.Nodes() {
+		if n.Live() && n.Address != r.cfg.Settings.Address {
+			live = append(live, n.Address)
+		}
+	}
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live
+}
+
 // near is how many of them are in this node's data centre.
 func (r *relay) near() int {
 	n := 0
--- /dev/null
+++ b/internal/supervisor/syncer/peers.go
@@ -0,0 +1,178 @@
+package syncer
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"banyanquay/internal/encoder"
+	"banyanquay/internal/grouper"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/registrar"
+)
+
+const (
+	// peerTick is the time between two looks at how old this node's knowledge
+	// is, and peerPause after answers that were no fresher.
+	peerTick  = 250 * time.Millisecond
+	peerPause = time.Second
+	// configurationAge and tableAge are from when on other nodes are asked: what
+	// the store tells in time is never that old.
+	configurationAge = 2*confirmWait + 300*time.Millisecond
+	tableAge         = 2*pollInterval + 200*time.Millisecond
+	// peerTimeout bounds a question to a node, and peersAsked how many are asked
+	// at once.
+	peerTimeout = 400 * time.Millisecond
+	peersAsked  = 2
+	// worth is how much fresher an answer has to be.
+	worth = 200 * time.Millisecond
+)
+
+// question asks a node for what it knows of the store.
+type question struct {
+	_ struct{} `cbor:",toarray"`
+	// Version is that of the asking node's configuration; 0 if it has none.
+	Version int64
+}
+
+// knowledge is what a node knows of the store. Ages are as of the answer, so
+// that what they say holds at the time of the question less the age.
+type knowledge struct {
+	_ struct{} `cbor:",toarray"`
+	// Configuration is the record of a configuration newer than the one that
+	// was asked with; empty if there is none.
+	Configuration []byte
+	// ConfirmedMillis is the age of the configuration's confirmation, and
+	// ListedMillis that of the table; under 0 if there is none.
+	ConfirmedMillis int64
+	ListedMillis    int64
+	Entries         []registrar.Entry
+}
+
+// Answer answers another node's question.
+func (s *Syncer) Answer(body []byte) ([]byte, error) {
+	q, err := encoder.FromCBOR[question](body)
+	if err != nil {
+		return nil, err
+	}
+	k := knowledge{ConfirmedMillis: -1, ListedMillis: -1}
+	// Ages are taken after what they are about.
+	s.mu.Lock()
+	view, raw := s.View(), *s.raw.Load()
+	table, listed := s.Table(), s.listed.Load()
+	s.mu.Unlock()
+	if view.Configuration != nil && !view.Confirmed.IsZero() {
+		k.ConfirmedMillis = s.cfg.Now().Sub(view.Confirmed).Milliseconds() + 1
+		if view.Configuration.Version() > q.Version {
+			k.Configuration = raw
+		}
+	}
+	if listed != nil {
+		k.ListedMillis = s.cfg.Now().Sub(*listed).Milliseconds() + 1
+		k.Entries = table.All()
+	}
+	return encoder.CBOR(k)
+}
+
+// followPeers asks other nodes while the store doesn't answer this one.
+func (s *Syncer) followPeers(ctx context.Context) error {
+	for grouper.Sleep(ctx, peerTick) {
+		if !s.old() {
+			continue
+		}
+		if !s.askPeers(ctx) {
+			grouper.Sleep(ctx, peerPause)
+		}
+	}
+	return nil
+}
+
+// old tells whether this node's knowledge is older than a store that answers
+// would leave it.
+func (s *Syncer) old() bool {
+	now := s.cfg.Now()
+	listed := s.listed.Load()
+	return listed == nil || now.Sub(*listed) > tableAge || now.Sub(s.View().Confirmed) > configurationAge
+}
+
+// askPeers asks some nodes at once and tells whether one knew more.
+func (s *Syncer) askPeers(ctx context.Context) bool {
+	peers := s.cfg.Peers()
+	peers = peers[:min(len(peers), peersAsked)]
+	better := make(chan bool, len(peers))
+	for _, address := range peers {
+		go func() { better <- s.askPeer(ctx, address) }()
+	}
+	found := false
+	for range peers {
+		found = <-better || found
+	}
+	return found
+}
+
+// askPeer asks one node and tells whether it knew more.
+func (s *Syncer) askPeer(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var q question
+	if cfg := s.View().Configuration; cfg != nil {
+		q.Version = cfg.Version()
+	}
+	body, err := encoder.CBOR(q)
+	if err != nil {
+		return false
+	}
+	asked := s.cfg.Now()
+	data, err := s.cfg.Ask(ctx, address, body)
+	s.cfg.Counters.Config.Add("peers_asked", 1)
+	if err != nil {
+		return false
+	}
+	k, err := encoder.FromCBOR[knowledge](data)
+	if err != nil {
+		s.cfg.Recorder.Warn(recorder.ListBadRecord, zap.String("node", address), zap.Error(err))
+		return false
+	}
+	return s.learn(k, asked, address)
+}
+
+// learn takes in what another node knew when it was asked, if it is fresher.
+func (s *Syncer) learn(k knowledge, asked time.Time, address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	better := false
+	view := s.View()
+	if len(k.Configuration) > 0 {
+		view = s.adopt(view, k.Configuration, "node "+address)
+		better = true
+	}
+	if k.ConfirmedMillis >= 0 {
+		// The answer's configuration may be older than the one in force here;
+		// then its confirmation says nothing of this one, but the one in force is
+		// newer still.
+		at := asked.Add(-time.Duration(k.ConfirmedMillis) * time.Millisecond)
+		if at.Sub(view.Confirmed) > worth {
+			view.Confirmed, better = at, true
+		}
+	}
+	s.view.Store(&view)
+	if k.ListedMillis >= 0 {
+		at := asked.Add(-time.Duration(k.ListedMillis) * time.Millisecond)
+		if listed := s.listed.Load(); listed == nil || at.Sub(*listed) > worth {
+			before := s.Table()
+			next := before.Replaced(s.cfg.Now(), s.cfg.Now(), k.Entries)
+			s.table.Store(&next)
+			s.listed.Store(&at)
+			s.record(before, &next)
+			better = true
+		}
+	}
+	if better {
+		s.cfg.Counters.Config.Add("learnt_from_peers", 1)
+		s.cfg.Recorder.Info(recorder.LearntFromNode, zap.String("node", address),
+			zap.Int64("confirmed_ms", k.ConfirmedMillis), zap.Int64("listed_ms", k.ListedMillis),
+			zap.Int("entries", len(k.Entries)), zap.Bool("configuration", len(k.Configuration) > 0))
+	}
+	return better
+}
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -48,18 +50,27 @@
 	// Configuration and Entry decode records.
 	Configuration func(data []byte) (*mapper.Configuration, error)
 	Entry         func(id string, data []byte) (registrar.Entry, error)
-	Now           func() time.Time
-	Recorder      *recorder.Recorder
-	Counters      *counter.Set
+	// Peers returns the nodes to ask while the store doesn't answer, the best
+	// first, and Ask asks one.
+	Peers    func() []string
+	Ask      func(ctx context.Context, address string, question []byte) ([]byte, error)
+	Now      func() time.Time
+	Recorder *recorder.Recorder
+	Counters *counter.Set
 }
 
 // Syncer follows the store.
 type Syncer struct {
-	cfg   Config
+	cfg Config
+
+	// mu guards changes of what follows; each is read without it.
+	mu    sync.Mutex
 	view  atomic.Pointer[forwarder.View]
 	table atomic.Pointer[registrar.Table]
-	// listed is set once the endpoints have been read.
-	listed atomic.Bool
+	// raw is the record of the configuration in force.
+	raw atomic.Pointer[[]byte]
+	// listed is as of when the table is known; nil before it has been read.
+	listed atomic.Pointer[time.Time]
 }
 
 // New returns a syncer that knows nothing yet.
@@ -67,6 +78,7 @@
 	s := &Syncer{cfg: cfg}
 	s.view.Store(&forwarder.View{})
 	s.table.Store(&registrar.Table{})
+	s.raw.Store(&[]byte{})
 	return s
 }
 
@@ -78,7 +90,7 @@
 
 // Ready tells whether both have been read.
 func (s *Syncer) Ready() bool {
-	return s.View().Configuration != nil && s.listed.Load()
+	return s.View().Configuration != nil && s.listed.Load() != nil
 }
 
 // Step follows the store until its context ends.
@@ -86,6 +98,7 @@
 	return grouper.Group("store",
 		grouper.Step{Name: "configuration", Run: s.followConfiguration},
 		grouper.Step{Name: "endpoints", Run: s.followEndpoints},
+		grouper.Step{Name: "peers", Run: s.followPeers},
 	)
 }
 
@@ -160,36 +173,46 @@
 // applyConfiguration takes in records up to the end of the topic as of a
 // moment after asked. A lower version never replaces a higher one.
 func (s *Syncer) applyConfiguration(items provider.Items, asked time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	view := s.View()
 	for _, it := range items.Items {
 		if it.Key != s.cfg.ConfigKey || len(it.Value) == 0 {
 			continue
 		}
-		cfg, err := s.cfg.Configuration(it.Value)
-		if err != nil {
-			s.cfg.Recorder.Error(recorder.ConfigBadRecord, zap.Uint64("offset", uint64(it.Offset)), zap.Error(err))
-			continue
-		}
-		if view.Configuration != nil && cfg.Version() <= view.Configuration.Version() {
-			continue
-		}
-		view.Configuration = cfg
-		s.cfg.Counters.Config.Add("applied", 1)
-		s.cfg.Recorder.Info(recorder.ConfigApplied,
-			zap.Int64("version", cfg.Version()), zap.Uint64("offset", uint64(it.Offset)))
+		view = s.adopt(view, it.Value, fmt.Sprintf("offset %d", it.Offset))
 	}
-	if !items.More {
+	if !items.More && asked.After(view.Confirmed) {
 		view.Confirmed = asked
 	}
 	s.view.Store(&view)
 }
 
+// adopt returns the view with a record's configuration, if that is newer. It
+// needs the lock.
+func (s *Syncer) adopt(view forwarder.View, raw []byte, source string) forwarder.View {
+	cfg, err := s.cfg.Configuration(raw)
+	if err != nil {
+		s.cfg.Recorder.Error(recorder.ConfigBadRecord, zap.String("source", source), zap.Error(err))
+		return view
+	}
+	if view.Configuration != nil && cfg.Version() <= view.Configuration.Version() {
+		return view
+	}
+	view.Configuration = cfg
+	s.raw.Store(&raw)
+	s.cfg.Counters.Config.Add("applied", 1)
+	s.cfg.Recorder.Info(recorder.ConfigApplied, zap.Int64("version", cfg.Version()), zap.String("source", source))
+	return view
+}
+
 // followEndpoints keeps the table.
 func (s *Syncer) followEndpoints(ctx context.Context) error {
 	o := outage{recorder: s.cfg.Recorder, what: "endpoints", now: s.cfg.Now}
 	known := false
 	var from provider.Offset
 	for ctx.Err() == nil {
+		asked := s.cfg.Now()
 		items, err := s.readEndpoints(ctx, known, from)
 		switch {
 		case errors.Is(err, provider.ErrCompacted):
@@ -202,7 +225,7 @@
 			return nil
 		}
 		o.succeeded()
-		s.applyEndpoints(items, !known, o.returned.Add(lapseTime))
+		s.applyEndpoints(items, !known, asked, o.returned.Add(lapseTime))
 		known, from = true, items.End
 		if !items.More {
 			grouper.Sleep(ctx, pollInterval)
@@ -220,7 +243,9 @@
 }
 
 // applyEndpoints takes in records, or the whole list if whole is set.
-func (s *Syncer) applyEndpoints(items provider.Items, whole bool, keepUntil time.Time) {
+func (s *Syncer) applyEndpoints(items provider.Items, whole bool, asked, keepUntil time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	var changes []registrar.Change
 	var entries []registrar.Entry
@@ -244,7 +269,9 @@
 		next = before.Replaced(now, keepUntil, entries)
 	}
 	s.table.Store(&next)
-	s.listed.Store(true)
+	if !items.More {
+		s.listed.Store(&asked)
+	}
 	s.record(before, &next)
 }
 
--- a/internal/supervisor/teller/teller.go
+++ b/internal/supervisor/teller/teller.go
@@ -23,6 +23,8 @@
 	unit = 64
 	// mostLoads bounds the loads of one telling.
 	mostLoads = 512
+	// mostSlow bounds the slow engines of one telling.
+	mostSlow = 64
 )
 
 // Load is the work that one node has in progress at an endpoint.
@@ -42,6 +44,16 @@
 	Told bool `cbor:"2,keyasint,omitempty"`
 	// Silent are endpoints that accept no connection of the sender.
 	Silent []string `cbor:"3,keyasint,omitempty"`
+	// Slow are engines that are slower than usual.
+	Slow []Slow `cbor:"4,keyasint,omitempty"`
+}
+
+// Slow is an engine that is slower than usual.
+type Slow struct {
+	_  struct{} `cbor:",toarray"`
+	ID string
+	// Pace is how many times slower it is.
+	Pace float32
 }
 
 // Config is what a teller needs.
@@ -49,6 +61,10 @@
 	Links *linker.Linker
 	// Loads returns this node's tokens in progress by endpoint.
 	Loads func() map[string]int
+	// Paces returns how many times slower than usual slow engines are, by ID, as
+	// this node has asked them, and Paced is told what other nodes say.
+	Paces func() map[string]float64
+	Paced func(endpoint string, pace float64)
 	// Suspect is told of an endpoint that another node found silent. It must
 	// not block.
 	Suspect func(endpoint string)
@@ -157,7 +173,7 @@
 	m.Silent, p.silent = p.silent, nil
 	if now.Sub(p.told) >= interval {
 		p.told = now
-		m.Loads, m.Told = t.loads(), true
+		m.Loads, m.Told, m.Slow = t.loads(), true, t.slow()
 	}
 	if !m.Told && len(m.Silent) == 0 {
 		return nil
@@ -180,6 +196,17 @@
 	return loads
 }
 
+// slow returns the slow engines as they are told.
+func (t *Teller) slow() []Slow {
+	var slow []Slow
+	for id, pace := range t.cfg.Paces() {
+		if len(slow) < mostSlow {
+			slow = append(slow, Slow{ID: id, Pace: float32(pace)})
+		}
+	}
+	return slow
+}
+
 // receive takes what a peer told.
 func (t *Teller) receive(link linker.Link, body []byte) {
 	m, err := encoder.FromCBOR[message](body)
@@ -199,4 +226,7 @@
 	for _, id := range m.Silent {
 		t.cfg.Suspect(id)
 	}
+	for _, s := range m.Slow {
+		t.cfg.Paced(s.ID, float64(s.Pace))
+	}
 }
