Share the retry budget by use, and leave slow streams alone that are in time

Each node had an equal part of the budget however little the others needed.

Change: nodes tell each other what they spent and share what is left, in a way that all together can't overspend; a stream in progress waits for a repeat as long as its caller does; slowness alone moves a stream only when it would be late or lose its caller; all engines are asked for their pace once one is found slow.

--- a/internal/supervisor/forwarder/assessor/assessor.go
+++ b/internal/supervisor/forwarder/assessor/assessor.go
@@ -30,9 +30,11 @@
 	// Doubted is until when the endpoint is avoided.
 	Doubted time.Time
 	// Pace is how many times slower than usual the endpoint was when it was
-	// last asked, and Paced when that was.
+	// last asked, and Paced when that was. Asked is set if this node asked: what
+	// others told is not told on.
 	Pace  float64
 	Paced time.Time
+	Asked bool
 }
 
 // paceFresh is how long a pace counts: slow spells last seconds.
@@ -94,24 +96,24 @@
 	return a.now().Before(a.records[id].Doubted)
 }
 
-// Paced takes in an endpoint's pace.
-func (a *Assessor) Paced(id string, pace float64) {
+// Paced takes in an endpoint's pace, as this node has asked or been told.
+func (a *Assessor) Paced(id string, pace float64, asked bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.records[id]
-	r.Pace, r.Paced = pace, a.now()
+	r.Pace, r.Paced, r.Asked = pace, a.now(), asked
 	a.records[id] = r
 }
 
-// Slow returns the pace of the endpoints that are slower than a bound.
-func (a *Assessor) Slow(bound float64) map[string]float64 {
+// Slow returns the records of the endpoints that are slower than a bound.
+func (a *Assessor) Slow(bound float64) map[string]Record {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
-	slow := make(map[string]float64)
+	slow := make(map[string]Record)
 	for id, r := range a.records {
-		if pace := r.Slowness(now); pace > bound {
-			slow[id] = pace
+		if r.Slowness(now) > bound {
+			slow[id] = r
 		}
 	}
 	return slow
--- a/internal/supervisor/forwarder/budgeter/budgeter.go
+++ b/internal/supervisor/forwarder/budgeter/budgeter.go
@@ -1,6 +1,6 @@
 // Package budgeter bounds what is sent to a service beyond the first time: in
 // each window a share of the requests for it, and a fixed slack that all nodes
-// share.
+// share. Nodes that need more than an equal part get what the others leave.
 package budgeter
 
 import (
@@ -8,12 +8,24 @@
 	"time"
 )
 
-// slots is how many parts a window is counted in.
-const slots = 10
+const (
+	// slots is how many parts a window is counted in.
+	slots = 20
+	// margin is the part of the budget that is used: requests are counted by
+	// the time of their arrival here, which is not when they were sent.
+	margin = 0.8
+	// interval is how long an allowance holds: longer than nodes take to tell
+	// each other what they have spent, so that all together never overspend.
+	interval = 500 * time.Millisecond
+)
 
-// margin is the part of the budget that is used: requests are counted by the
-// time of their arrival here, which is not when they were sent.
-const margin = 0.8
+// Spent is what was sent to a service in a window. It is an immutable value.
+type Spent struct {
+	// Requests are those of callers, Repeats what was sent beyond the first
+	// time.
+	Requests int
+	Repeats  int
+}
 
 // Config sets a budget.
 type Config struct {
@@ -22,8 +34,11 @@
 	Limits func() (ratio, slack float64)
 	// Window is the time over which both are counted.
 	Window time.Duration
-	// Nodes returns how many nodes share Slack.
+	// Nodes returns how many nodes share the budget.
 	Nodes func() int
+	// Others returns what the other nodes have sent in the last window, as far
+	// as they have told, and how many have.
+	Others func(service string) (spent Spent, nodes int)
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -39,9 +54,11 @@
 // counts are those of the last slots, the current one included.
 type counts struct {
 	// slot is the number of the current slot since the zero time.
-	slot     int64
-	requests [slots]int
-	repeats  [slots]int
+	slot  int64
+	spent [slots]Spent
+	// allowed is what may still be spent until the allowance is renewed.
+	allowed float64
+	renewed time.Time
 }
 
 // New returns a budgeter.
@@ -58,18 +75,49 @@
 	}
 	now := b.cfg.Now().UnixNano() / int64(b.cfg.Window/slots)
 	for n := max(c.slot+1, now-slots+1); n <= now; n++ {
-		c.requests[n%slots], c.repeats[n%slots] = 0, 0
+		c.spent[n%slots] = Spent{}
 	}
 	c.slot = max(c.slot, now)
 	return c
 }
 
+// sum is what was sent in the last window.
+func (c *counts) sum() Spent {
+	var sum Spent
+	for _, s := range c.spent {
+		sum.Requests += s.Requests
+		sum.Repeats += s.Repeats
+	}
+	return sum
+}
+
+// renew sets the allowance anew once its time is over: this node's part of
+// what all have left.
+func (b *Budgeter) renew(service string, c *counts) {
+	now := b.cfg.Now()
+	if now.Sub(c.renewed) < interval {
+		return
+	}
+	c.renewed = now
+	ratio, slack := b.cfg.Limits()
+	nodes := max(b.cfg.Nodes(), 1)
+	own := c.sum()
+	others, told := b.cfg.Others(service)
+	silent := max(nodes-1-told, 0)
+	left := margin*(ratio*float64(own.Requests+others.Requests)+slack) - float64(own.Repeats+others.Repeats)
+	if silent > 0 {
+		// What silent nodes have spent is not known: their parts are theirs.
+		left -= margin * slack * float64(silent) / float64(nodes)
+	}
+	c.allowed = max(left, 0) / float64(told+1)
+}
+
 // Request counts a request for a service.
 func (b *Budgeter) Request(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.at(service)
-	c.requests[c.slot%slots]++
+	c.spent[c.slot%slots].Requests++
 }
 
 // Repeat takes one repeat out of the budget, and tells whether there was one.
@@ -77,16 +125,31 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.at(service)
-	requests, repeats := 0, 0
-	for n := range slots {
-		requests += c.requests[n]
-		repeats += c.repeats[n]
-	}
-	ratio, slack := b.cfg.Limits()
-	share := slack / float64(max(b.cfg.Nodes(), 1))
-	if float64(repeats+1) > margin*(ratio*float64(requests)+share) {
+	b.renew(service, c)
+	if c.allowed < 1 {
 		return false
 	}
-	c.repeats[c.slot%slots]++
+	c.allowed--
+	c.spent[c.slot%slots].Repeats++
 	return true
 }
+
+// Affords tells whether a repeat would be granted now.
+func (b *Budgeter) Affords(service string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.at(service)
+	b.renew(service, c)
+	return c.allowed >= 1
+}
+
+// Spent returns what this node has sent in the last window, by service.
+func (b *Budgeter) Spent() map[string]Spent {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	spent := make(map[string]Spent, len(b.services))
+	for service := range b.services {
+		spent[service] = b.at(service).sum()
+	}
+	return spent
+}
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -13,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"banyanquay/internal/driver"
+	"banyanquay/internal/grouper"
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/supervisor/forwarder/pather"
@@ -28,6 +30,10 @@
 	doubtTime = 2 * time.Second
 	// fullTime is how long an engine that had no room is avoided.
 	fullTime = 150 * time.Millisecond
+	// budgetPatience is how long a stream in progress waits for a repeat: callers
+	// leave after a silence of two seconds. budgetPoll is how often it asks.
+	budgetPatience = 1300 * time.Millisecond
+	budgetPoll     = 50 * time.Millisecond
 	// leastLeft is the time below which a generation isn't begun any more.
 	leastLeft = 50 * time.Millisecond
 )
@@ -50,9 +56,8 @@
 			f.refuse(c, f.broken(c, err, last))
 			return
 		}
-		if c.sends > 0 && !f.cfg.Budget.Repeat(c.service) {
-			f.cfg.Counters.Retries.Add("budget_spent", 1)
-			f.refuse(c, f.broken(c, refuser.New(refuser.RetryBudgetSpent, "no repeat left").WithWait(time.Second), last))
+		if c.sends > 0 && !f.repeat(c) {
+			f.refuse(c, f.broken(c, refuser.New(refuser.RetryBudgetSpent, "no repeat left").WithWait(spentWait()), last))
 			return
 		}
 		whole, err := f.attempt(c, s, path)
@@ -72,6 +77,27 @@
 	}
 }
 
+// repeat takes a repeat out of the budget. A stream in progress waits for one as
+// long as its caller does.
+func (f *Forwarder) repeat(c *call) bool {
+	until := f.cfg.Now().Add(budgetPatience)
+	for {
+		if f.cfg.Budget.Repeat(c.service) {
+			return true
+		}
+		if !c.answered || f.cfg.Now().After(until) || !grouper.Sleep(c.r.Context(), budgetPoll) {
+			f.cfg.Counters.Retries.Add("budget_spent", 1)
+			return false
+		}
+	}
+}
+
+// spentWait is when a caller may come back whose request found no repeat left.
+// Budgets are renewed twice a second; the spread keeps callers apart.
+func spentWait() time.Duration {
+	return 300*time.Millisecond + rand.N(500*time.Millisecond)
+}
+
 // resumes tells whether another attempt may follow a failed one.
 func (f *Forwarder) resumes(c *call, err error) bool {
 	left, limited := c.remaining(f.cfg.Now(), c.route.Timeout)
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -28,9 +28,17 @@
 	// askAfter is the silence after which the path's first engine is asked
 	// what it waits for, if all engines of the path accept connections.
 	askAfter = 150 * time.Millisecond
+	// lookedOften is after how many looks the engines are asked however short
+	// the silence: a path that is always late has a slow engine.
+	lookedOften = 4
 	// moveAfter is the silence after which a stream is moved though no engine
 	// is known to be at fault.
 	moveAfter = 900 * time.Millisecond
+	// slowFirst and slowNext are the silences after which a stream on a path with
+	// a slow engine is begun anew, before and after its first event. Callers leave
+	// after two seconds.
+	slowFirst = 250 * time.Millisecond
+	slowNext  = 700 * time.Millisecond
 	// lookAgain is the time between two looks into one stream.
 	// and grows with each look that finds nothing.
 	lookAgain = 60 * time.Millisecond
@@ -47,8 +55,10 @@
 type monitor struct {
 	f *Forwarder
 
-	reports  *reporter
-	mu       sync.Mutex
+	reports *reporter
+	mu      sync.Mutex
+	// surveyed is when all engines were last asked for their pace.
+	surveyed time.Time
 	sessions map[*session]bool
 }
 
@@ -140,6 +150,7 @@
 	s.rescuing = false
 	s.next = s.f.cfg.Now().Add(min(lookAgain<<min(s.looks, 10), lookLast))
 	s.looks++
+	s.looked++
 }
 
 // rescue finds out what a stream waits for and moves it.
@@ -158,6 +169,9 @@
 	if len(bad) == 0 && silence < moveAfter {
 		return
 	}
+	if m.onlySlow(state.path, bad) && !tooSlow(state, silence) {
+		return
+	}
 	m.f.cfg.Counters.Stages.Add("stalls", 1)
 	m.f.cfg.Recorder.Info(recorder.StreamStalled,
 		zap.String("request", s.c.ID), zap.Strings("path", addresses(state.path)), zap.Strings("suspects", bad),
@@ -165,6 +179,25 @@
 	m.move(s, now, bad)
 }
 
+// onlySlow tells whether the engines at fault answer, and are just slow.
+func (m *monitor) onlySlow(path []pather.Part, bad []string) bool {
+	for _, p := range path {
+		if slices.Contains(bad, p.Address) && m.f.assessor.Doubtful(p.ID) {
+			return false
+		}
+	}
+	return len(bad) > 0
+}
+
+// tooSlow tells whether a slow stream is better begun anew: it would otherwise
+// be late for its first event, or lose its caller.
+func tooSlow(state snapshot, silence time.Duration) bool {
+	if state.events == 0 {
+		return silence > slowFirst
+	}
+	return silence > slowNext
+}
+
 // suspects returns the addresses on a stream's path that are at fault.
 func (m *monitor) suspects(s *session, state snapshot, silence time.Duration) []string {
 	bad := m.f.prober.silent(addresses(state.path))
@@ -173,13 +206,15 @@
 			m.f.doubt(p.ID, p.Address, silentTime, whySilent)
 		}
 	}
-	if len(bad) > 0 || silence < askAfter {
+	if len(bad) > 0 || (silence < askAfter && state.looked < lookedOften) {
 		return bad
 	}
 	reports := m.reports.reports(state.path)
 	for _, p := range state.path {
 		if pace := reports[p.ID].Pace; pace > slowPace {
-			m.f.slow(p, pace)
+			if m.f.slow(p.ID, p.Address, pace, true) {
+				go m.survey(s.c.service)
+			}
 			bad = append(bad, p.Address)
 		}
 	}
@@ -194,48 +229,6 @@
 	return bad
 }
 
-// slow takes in that an engine is slow.
-func (f *Forwarder) slow(p pather.Part, pace float64) {
-	if f.assessor.Record(p.ID).Slowness(f.cfg.Now()) == 1 {
-		f.cfg.Counters.Stages.Add("slow", 1)
-		f.cfg.Recorder.Info(recorder.EndpointSlow,
-			zap.String("endpoint", p.ID), zap.String("address", p.Address), zap.Float64("pace", pace))
-	}
-	f.assessor.Paced(p.ID, pace)
-}
-
-// slowPace is from which pace on an engine counts as slow.
-const slowPace = 1.8
-
-// watchInterval is the time between two questions to a slow engine.
-const watchInterval = 1200 * time.Millisecond
-
-// watch asks the engines that are slow again, so that their recovery is seen.
-func (m *monitor) watch() {
-	for id := range m.f.assessor.Slow(slowPace) {
-		e, ok := m.f.cfg.Endpoints().Get(id)
-		if !ok {
-			continue
-		}
-		go func() {
-			part := pather.Part{ID: e.ID, Address: e.Address}
-			if r, ok := m.reports.reports([]pather.Part{part})[e.ID]; ok {
-				m.f.assessor.Paced(e.ID, max(r.Pace, 1))
-			}
-		}()
-	}
-}
-
-// Paces returns the paces of slow engines by ID.
-func (f *Forwarder) Paces() map[string]float64 { return f.assessor.Slow(slowPace) }
-
-// Paced takes in what another node says of an engine's pace.
-func (f *Forwarder) Paced(id string, pace float64) {
-	if e, ok := f.cfg.Endpoints().Get(id); ok {
-		f.slow(pather.Part{ID: e.ID, Address: e.Address}, pace)
-	}
-}
-
 // doubt lets an engine be avoided for a while.
 func (f *Forwarder) doubt(id, address string, d time.Duration, why string) {
 	if !f.assessor.Doubtful(id) {
@@ -256,16 +249,33 @@
 // first engine if one stays in its data centre, else from another first engine.
 func (m *monitor) move(s *session, state snapshot, bad []string) {
 	headBad := slices.Contains(bad, state.first().Address)
+	detour, found := []pather.Part(nil), false
 	if !headBad && len(bad) > 0 {
-		if path, ok := m.detour(s, state, bad); ok && pather.Crossings(path) <= pather.Crossings(state.path) {
-			if m.repath(s, state, path) {
-				return
-			}
+		detour, found = m.detour(s, state, bad)
+		if found && pather.Crossings(detour) <= pather.Crossings(state.path) && m.repath(s, state, detour) {
+			return
 		}
 	}
-	if m.better(s, state) {
+	if !m.better(s, state) {
+		return
+	}
+	if m.f.mayBegin(s.c, state) {
 		state.cancel(errStalled)
+		return
+	}
+	m.f.cfg.Counters.Stages.Add("moves_unpaid", 1)
+	if found {
+		m.repath(s, state, detour)
+	}
+}
+
+// mayBegin tells whether a stream may begin anew elsewhere, by its route and by
+// the budget of repeats.
+func (f *Forwarder) mayBegin(c *call, state snapshot) bool {
+	if state.events > 0 && !c.route.Resumable {
+		return false
 	}
+	return f.cfg.Budget.Affords(c.service)
 }
 
 // better tells whether a stream would begin anew on a path that is cheaper than
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -35,8 +35,10 @@
 	// it may do so again.
 	rescuing bool
 	next     time.Time
-	// looks counts the looks since the last event.
-	looks int
+	// looks counts the looks since the last event, and looked those of the
+	// attempt.
+	looks  int
+	looked int
 	// moved is when the last event before a change of the path came; zero if
 	// events have come since.
 	moved time.Time
@@ -54,7 +56,7 @@
 	if s.events > 0 && s.moved.IsZero() {
 		s.moved = s.last
 	}
-	s.cancel, s.current, s.last, s.next, s.looks = cancel, 0, now, now, 0
+	s.cancel, s.current, s.last, s.next, s.looks, s.looked = cancel, 0, now, now, 0, 0
 	s.follow(path)
 }
 
@@ -114,6 +116,7 @@
 	interval time.Duration
 	longest  time.Duration
 	moves    int
+	looked   int
 }
 
 // look returns the session's state.
@@ -122,7 +125,7 @@
 	defer s.mu.Unlock()
 	return snapshot{
 		path: s.path, cancel: s.cancel, last: s.last, current: s.current, events: s.events,
-		interval: s.interval, longest: s.longest, moves: s.moves,
+		interval: s.interval, longest: s.longest, moves: s.moves, looked: s.looked,
 	}
 }
 
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -109,6 +109,7 @@
 	linker    *linker.Linker
 	tracker   *tracker.Tracker
 	teller    *teller.Teller
+	budget    *budgeter.Budgeter
 	elector   *elector.Elector
 	arranger  *arranger.Arranger
 	forwarder *forwarder.Forwarder
@@ -160,18 +161,20 @@
 		Links: r.linker, Now: r.clock.Now,
 		Loads:   func() map[string]int { return r.forwarder.Loads() },
 		Suspect: func(id string) { r.forwarder.Suspect(id) },
+		Spent:   func() map[string]budgeter.Spent { return r.budget.Spent() },
 		Paces:   func() map[string]float64 { return r.forwarder.Paces() },
 		Paced:   func(id string, pace float64) { r.forwarder.Paced(id, pace) },
 	})
+	r.budget = budgeter.New(budgeter.Config{
+		Window: s.Relay.RetryWindow.Duration, Nodes: r.nodes, Others: r.teller.OthersSpent, Now: r.clock.Now,
+		Limits: func() (float64, float64) {
+			s := r.reloader.Settings().Relay
+			return s.RetryRatio, s.RetrySlack
+		},
+	})
 	r.forwarder = forwarder.New(forwarder.Config{
 		Decode: p.Request, View: r.syncer.View, Endpoints: r.syncer.Table, Relay: p.Relay,
-		Budget: budgeter.New(budgeter.Config{
-			Window: s.Relay.RetryWindow.Duration, Nodes: r.nodes, Now: r.clock.Now,
-			Limits: func() (float64, float64) {
-				s := r.reloader.Settings().Relay
-				return s.RetryRatio, s.RetrySlack
-			},
-		}),
+		Budget: r.budget,
 		Centre: s.Centre,
 		KeyAge: func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
 		Nodes:  r.nodes, Near: r.near, Others: r.teller.Others, Silent: r.teller.Silent, Gate: r.gate, Now: r.clock.Now,
@@ -206,7 +209,7 @@
 	r.arranger = arranger.New(arranger.Config{
 		Configuration: func() *mapper.Configuration { return r.syncer.View().Configuration },
 		Endpoints:     r.syncer.Table, Report: p.Relay.Report, Place: p.Relay.Place,
-		Pace:  func(id string) float64 { return r.forwarder.Paces()[id] },
+		Pace:  func(id string) float64 { return r.forwarder.Pace(id) },
 		Leads: r.elector.Leads, Confirm: r.elector.Confirm, Fenced: r.elector.Fenced,
 		Now: r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
 	})
--- a/internal/supervisor/teller/teller.go
+++ b/internal/supervisor/teller/teller.go
@@ -11,6 +11,7 @@
 
 	"banyanquay/internal/encoder"
 	"banyanquay/internal/grouper"
+	"banyanquay/internal/supervisor/forwarder/budgeter"
 	"banyanquay/internal/supervisor/linker"
 )
 
@@ -46,6 +47,17 @@
 	Silent []string `cbor:"3,keyasint,omitempty"`
 	// Slow are engines that are slower than usual.
 	Slow []Slow `cbor:"4,keyasint,omitempty"`
+	// Spent is what the sender has sent to services of late.
+	Spent []Spent `cbor:"5,keyasint,omitempty"`
+}
+
+// Spent is what one node has sent to a service in the last window.
+type Spent struct {
+	_ struct{} `cbor:",toarray"`
+	// ID is the short name of the service.
+	ID       uint32
+	Requests uint32
+	Repeats  uint32
 }
 
 // Slow is an engine that is slower than usual.
@@ -61,6 +73,8 @@
 	Links *linker.Linker
 	// Loads returns this node's tokens in progress by endpoint.
 	Loads func() map[string]int
+	// Spent returns what this node has sent to services of late.
+	Spent func() map[string]budgeter.Spent
 	// Paces returns how many times slower than usual slow engines are, by ID, as
 	// this node has asked them, and Paced is told what other nodes say.
 	Paces func() map[string]float64
@@ -75,6 +89,7 @@
 type peer struct {
 	address string
 	loads   map[uint32]int
+	spent   map[uint32]budgeter.Spent
 	heard   time.Time
 	// told is when the loads were last told to it, and silent what waits to
 	// be told.
@@ -122,7 +137,26 @@
 // Others returns the tokens that other nodes have in progress at an endpoint,
 // and how many nodes have told of their loads of late.
 func (t *Teller) Others(id string) (tokens, nodes int) {
-	key, now := short(id), t.cfg.Now()
+	key := short(id)
+	nodes = t.each(func(p *peer) { tokens += p.loads[key] * unit })
+	return tokens, nodes
+}
+
+// OthersSpent returns what other nodes have sent to a service of late, and how
+// many nodes have told so.
+func (t *Teller) OthersSpent(service string) (spent budgeter.Spent, nodes int) {
+	key := short(service)
+	nodes = t.each(func(p *peer) {
+		spent.Requests += p.spent[key].Requests
+		spent.Repeats += p.spent[key].Repeats
+	})
+	return spent, nodes
+}
+
+// each calls use with each node that has told of its state of late, and returns
+// how many those are. There may be two links with a node.
+func (t *Teller) each(use func(p *peer)) int {
+	now := t.cfg.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen := make([]string, 0, len(t.peers))
@@ -131,9 +165,9 @@
 			continue
 		}
 		seen = append(seen, p.address)
-		tokens += p.loads[key] * unit
+		use(p)
 	}
-	return tokens, len(seen)
+	return len(seen)
 }
 
 // Silent tells the others of an endpoint that this node found silent.
@@ -173,7 +207,7 @@
 	m.Silent, p.silent = p.silent, nil
 	if now.Sub(p.told) >= interval {
 		p.told = now
-		m.Loads, m.Told, m.Slow = t.loads(), true, t.slow()
+		m.Loads, m.Told, m.Slow, m.Spent = t.loads(), true, t.slow(), t.spent()
 	}
 	if !m.Told && len(m.Silent) == 0 {
 		return nil
@@ -196,6 +230,15 @@
 	return loads
 }
 
+// spent returns what this node has sent to services as it is told.
+func (t *Teller) spent() []Spent {
+	var all []Spent
+	for service, s := range t.cfg.Spent() {
+		all = append(all, Spent{ID: short(service), Requests: uint32(s.Requests), Repeats: uint32(s.Repeats)})
+	}
+	return all
+}
+
 // slow returns the slow engines as they are told.
 func (t *Teller) slow() []Slow {
 	var slow []Slow
@@ -221,6 +264,10 @@
 		for _, l := range m.Loads {
 			p.loads[l.ID] += int(l.Units)
 		}
+		p.spent = make(map[uint32]budgeter.Spent, len(m.Spent))
+		for _, s := range m.Spent {
+			p.spent[s.ID] = budgeter.Spent{Requests: int(s.Requests), Repeats: int(s.Repeats)}
+		}
 	}
 	t.mu.Unlock()
 	for _, id := range m.Silent {
