Let streams that move read short prompts first

Cause: after a crash some sixty streams read their prompts anew at the same moment, which takes engines 200 ms; the order was that of arrival. Ranks: moving streams before new ones, short prompts before long ones.

--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -231,17 +231,24 @@
 // event, not for the first.
 func (c *call) rank() int {
 	if c.answered {
-		return 0
+		// Many move at once: the short ones first lets most be in time.
+		return min(c.Prompt/rankTokens, firstNew-1)
 	}
 	rank := c.route.Priority
 	if c.organisation.Ranked {
 		rank = c.organisation.Priority
 	}
-	return min(max(rank, 0), lastRank)
+	return min(firstNew+max(rank, 0), lastRank)
 }
 
-// lastRank is the last rank that endpoints know.
-const lastRank = 9
+const (
+	// firstNew is the first rank of requests that have not begun, and lastRank
+	// the last that endpoints know.
+	firstNew = 4
+	lastRank = 9
+	// rankTokens is the prompt tokens of one rank among streams that move.
+	rankTokens = 450
+)
 
 // forward returns what goes to an endpoint.
 func (f *Forwarder) forward(c *call, endpoint string) driver.Forward {
