Test the forwarder under fake time before emulated engines

An emulator of engines with paths, under the published cost law, runs in memory; tests play crashes (reset, silent, with and without a second holder), a spent budget, engines that restarted empty and a slow one, and what plain services may answer. They found a data race: the monitor read a stream's request while its last event was noted in it.

--- /dev/null
+++ b/internal/mapper/mapper_test.go
@@ -0,0 +1,102 @@
+package mapper
+
+import (
+	"testing"
+	"time"
+)
+
+func draft() Draft {
+	return Draft{
+		Version: 7,
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Offers: []Offer{{"s1", 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Offers: []Offer{{"s1", 90}, {"s2", 10}}},
+			{Name: "root", Host: "b.example", Prefix: "/", Offers: []Offer{{"s3", 1}}},
+		},
+		Services:      []Service{{Name: "s1"}, {Name: "s2"}},
+		Organisations: map[string]Organisation{"secret": {Name: "org"}},
+		Keyed:         true,
+	}
+}
+
+func TestRoute(t *testing.T) {
+	cfg := New(draft())
+	cases := []struct {
+		host, path, want string
+	}{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"a.example", "/x/y/z/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"A.example", "/x/y/", "long"},
+		{"a.example", "/x", ""},
+		{"a.example", "/", ""},
+		{"a.example", "", ""},
+		{"b.example", "/anything", "root"},
+		{"c.example", "/x/1", ""},
+		{"a.example", "/x/%2f1", "short"},
+	}
+	for _, c := range cases {
+		r, ok := cfg.Route(c.host, c.path)
+		if got := r.Name; got != c.want || ok != (c.want != "") {
+			t.Errorf("%s%s: got %q, %v, want %q", c.host, c.path, got, ok, c.want)
+		}
+	}
+}
+
+func TestServiceFollowsWeights(t *testing.T) {
+	r, _ := New(draft()).Route("a.example", "/x/y/")
+	counts := map[string]int{}
+	for hash := range uint64(1000) {
+		counts[r.Service(hash)]++
+	}
+	if got, want := counts["s1"], 900; got != want {
+		t.Errorf("requests to s1: got %d of 1000, want %d", got, want)
+	}
+	if got, want := counts["s2"], 100; got != want {
+		t.Errorf("requests to s2: got %d of 1000, want %d", got, want)
+	}
+}
+
+func TestOrganisation(t *testing.T) {
+	cfg := New(draft())
+	if o, ok := cfg.Organisation("secret"); !ok || o.Name != "org" {
+		t.Errorf("got %v, %v, want org", o, ok)
+	}
+	for _, key := range []string{"", "secre", "secrett", "Secret"} {
+		if _, ok := cfg.Organisation(key); ok {
+			t.Errorf("key %q is accepted, want it unknown", key)
+		}
+	}
+}
+
+func TestRepeatable(t *testing.T) {
+	cases := []struct {
+		route Route
+		want  bool
+	}{
+		{Route{Kind: NonIdempotent}, false},
+		{Route{Kind: NonIdempotent, Resumable: true}, false},
+		{Route{Kind: Idempotent}, true},
+		{Route{Kind: Streaming}, false},
+		{Route{Kind: Streaming, Resumable: true}, true},
+	}
+	for _, c := range cases {
+		if got := c.route.Repeatable(); got != c.want {
+			t.Errorf("%v, resumable %v: got %v, want %v", c.route.Kind, c.route.Resumable, got, c.want)
+		}
+	}
+}
+
+func TestRoom(t *testing.T) {
+	e := &Engine{Layers: 80, LayerMB: 1750, CacheBytes: 426000, Step: time.Millisecond}
+	a := Accelerator{Name: "l4", MB: 21600}
+	cases := []struct{ layers, least, most int }{
+		{12, 9_000, 9_500}, {10, 76_000, 78_000}, {8, 178_000, 179_000}, {0, 0, 0}, {13, -20_000, 0},
+	}
+	for _, c := range cases {
+		if got := e.Room(a, c.layers); got < c.least || got > c.most {
+			t.Errorf("%d layers: got room for %d tokens, want %d to %d", c.layers, got, c.least, c.most)
+		}
+	}
+}
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -89,7 +89,7 @@
 		delete(next.lapsed, c.ID)
 		switch {
 		case c.Entry != nil:
-			next.entries[c.ID] = *c.Entry
+			next.take(*c.Entry)
 		case c.Unreadable || !now.Before(keepUntil):
 			delete(next.entries, c.ID)
 		default:
@@ -99,6 +99,19 @@
 	return next.expire(now)
 }
 
+// take takes in an entry, unless it is of an earlier start than the one known: a
+// record may be late. An endpoint that leaves never comes back in one start.
+func (t Table) take(e Entry) {
+	old, known := t.entries[e.ID]
+	if known && e.Born < old.Born {
+		return
+	}
+	if known && old.SameStart(e) && old.Leaving {
+		e.Leaving = true
+	}
+	t.entries[e.ID] = e
+}
+
 // Replaced returns a table of just these entries; those that vanish with it
 // stay until keepUntil.
 func (t Table) Replaced(now, keepUntil time.Time, entries []Entry) Table {
--- /dev/null
+++ b/internal/standin/emulator/emulator.go
@@ -0,0 +1,387 @@
+// Package emulator stands in for engines that pass generations along a path:
+// in memory, with the cost law of their platform, under real or fake time.
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"banyanquay/internal/driver"
+)
+
+// Config sets the cost law.
+type Config struct {
+	// Step is the time of a token's step over all layers at pace 1, and Read
+	// how many prompt tokens are read over all layers in a millisecond.
+	Step time.Duration
+	Read float64
+	// Stride is the tokens of one event.
+	Stride int
+	// Layers is the layer count of the model.
+	Layers int
+	// Stall is how long work waits for an engine that doesn't answer.
+	Stall time.Duration
+	// Hop is the time of a message between two engines.
+	Hop time.Duration
+}
+
+// Defaults returns the law that the users' engines follow.
+func Defaults() Config {
+	return Config{
+		Step: 850 * time.Microsecond, Read: 272, Stride: 2, Layers: 80,
+		Stall: 3 * time.Second, Hop: 200 * time.Microsecond,
+	}
+}
+
+// Engine is one engine as it is set up.
+type Engine struct {
+	ID      string
+	Address string
+	// First and Last bound the layers held as [First, Last).
+	First int
+	Last  int
+	// Pace multiplies steps and ReadPace the reading of prompts.
+	Pace     float64
+	ReadPace float64
+	// Room is how many tokens fit; 0 means any number.
+	Room int
+}
+
+// engine is an engine's state.
+type engine struct {
+	Engine
+	// dead engines don't answer; a dark one doesn't refuse connections either.
+	dead bool
+	dark bool
+	// slow multiplies all times.
+	slow float64
+	// tokens are held by requests.
+	tokens int
+	// busy is until when the engine reads prompts.
+	busy time.Time
+	// orders counts accepted orders.
+	orders int64
+	fence  uint64
+	// changed is closed and replaced when dead changes.
+	changed chan struct{}
+}
+
+// generation is a request in progress.
+type generation struct {
+	id    string
+	path  []driver.Part
+	moved chan struct{}
+}
+
+// Emulator is a set of engines. It is safe for concurrent use.
+type Emulator struct {
+	cfg Config
+
+	mu          sync.Mutex
+	engines     map[string]*engine
+	generations map[string]*generation
+	sends       int
+	repaths     int
+}
+
+// New returns an emulator of some engines.
+func New(cfg Config, engines []Engine) *Emulator {
+	e := &Emulator{cfg: cfg, engines: make(map[string]*engine), generations: make(map[string]*generation)}
+	for _, each := range engines {
+		e.engines[each.Address] = &engine{Engine: each, slow: 1, changed: make(chan struct{})}
+	}
+	return e
+}
+
+// Kill ends an engine. A dark one leaves connections open and answers nothing.
+func (e *Emulator) Kill(address string, dark bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.engines[address]
+	n.dead, n.dark = true, dark
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Slow makes an engine slower by a factor.
+func (e *Emulator) Slow(address string, factor float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.engines[address].slow = factor
+}
+
+// Counts returns how many requests and changes of a path have been received.
+func (e *Emulator) Counts() (sends, repaths int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.sends, e.repaths
+}
+
+// Held returns the layers that an engine holds.
+func (e *Emulator) Held(address string) (first, last int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.engines[address]
+	return n.First, n.Last
+}
+
+// Relay returns the calls to the engines, in memory.
+func (e *Emulator) Relay() driver.Relay {
+	return driver.Relay{Send: e.send, Knock: e.knock, Report: e.report, Place: e.place, Repath: e.repath}
+}
+
+// at returns an engine that answers. A dark one holds the caller until it gives
+// up.
+func (e *Emulator) at(ctx context.Context, address string) (*engine, error) {
+	e.mu.Lock()
+	n := e.engines[address]
+	answers := n != nil && !n.dead
+	dark := n != nil && n.dead && n.dark
+	e.mu.Unlock()
+	switch {
+	case answers:
+		return n, nil
+	case dark:
+		<-ctx.Done()
+		return nil, trace.ConnectionProblem(ctx.Err(), "connecting to %s", address)
+	default:
+		return nil, trace.ConnectionProblem(nil, "%s refuses connections", address)
+	}
+}
+
+func (e *Emulator) knock(ctx context.Context, address string) error {
+	_, err := e.at(ctx, address)
+	return err
+}
+
+// report tells what an engine's requests wait for.
+func (e *Emulator) report(ctx context.Context, address, _ string) (driver.Report, error) {
+	n, err := e.at(ctx, address)
+	if err != nil {
+		return driver.Report{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := driver.Report{Orders: n.orders, Pace: n.slow, Stalled: make(map[string]string)}
+	for id, g := range e.generations {
+		if g.path[0].Address != address {
+			continue
+		}
+		r.Running++
+		if fault, ok := e.fault(g.path); ok {
+			r.Stalled[id] = fault
+		}
+	}
+	return r, nil
+}
+
+// fault returns the first engine of a path that doesn't answer. It needs the
+// lock.
+func (e *Emulator) fault(path []driver.Part) (string, bool) {
+	for _, p := range path {
+		if n := e.engines[p.Address]; n == nil || n.dead {
+			return p.Address, true
+		}
+	}
+	return "", false
+}
+
+// place lets an engine hold other layers, after the time of their load.
+func (e *Emulator) place(ctx context.Context, address, _ string, p driver.Placement) error {
+	n, err := e.at(ctx, address)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p.Fence < n.fence {
+		return &driver.Refused{Reason: driver.ReasonFence}
+	}
+	if p.Orders != n.orders {
+		return &driver.Refused{Reason: driver.ReasonState}
+	}
+	n.fence, n.orders = p.Fence, n.orders+1
+	n.First, n.Last = p.First, p.Last
+	return nil
+}
+
+// repath moves a generation to another path.
+func (e *Emulator) repath(ctx context.Context, address, _, request string, path []driver.Part) error {
+	if _, err := e.at(ctx, address); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.repaths++
+	g := e.generations[request]
+	if g == nil {
+		return &driver.Refused{Reason: driver.ReasonMissing}
+	}
+	if fault, bad := e.fault(path); bad {
+		return &driver.Refused{Reason: driver.ReasonState, Detail: fault}
+	}
+	g.path = path
+	close(g.moved)
+	g.moved = make(chan struct{})
+	return nil
+}
+
+// send takes a generation in and answers it as a stream.
+func (e *Emulator) send(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+	if _, err := e.at(ctx, address); err != nil {
+		return driver.Reply{}, &driver.Unsent{Err: err}
+	}
+	prompt, answer, after, err := Decode(f)
+	if err != nil {
+		return driver.Reply{}, err
+	}
+	g := &generation{id: f.ID, path: f.Path, moved: make(chan struct{})}
+	if refusal, ok := e.admit(g, prompt+answer); !ok {
+		return refusal, nil
+	}
+	r, w := io.Pipe()
+	go func() {
+		defer e.leave(g, prompt+answer)
+		_ = w.CloseWithError(e.write(ctx, g, w, prompt, answer, after))
+	}()
+	header := http.Header{"Content-Type": {"text/event-stream"}}
+	return driver.Reply{Status: http.StatusOK, Header: header, Body: r, Signed: true}, nil
+}
+
+// admit takes in a generation, unless an engine of its path lacks the layers or
+// the room.
+func (e *Emulator) admit(g *generation, tokens int) (driver.Reply, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sends++
+	for _, p := range g.path {
+		n := e.engines[p.Address]
+		switch {
+		case n == nil || n.dead:
+			continue // found out when its turn comes
+		case p.First < n.First || p.Last > n.Last:
+			return refusal(http.StatusMisdirectedRequest, p.Address), false
+		case n.Room > 0 && n.tokens+tokens > n.Room:
+			return refusal(http.StatusServiceUnavailable, p.Address), false
+		}
+	}
+	e.hold(g.path, tokens)
+	e.generations[g.id] = g
+	return driver.Reply{}, true
+}
+
+// hold changes the tokens held along a path. It needs the lock.
+func (e *Emulator) hold(path []driver.Part, tokens int) {
+	for _, p := range path {
+		if n := e.engines[p.Address]; n != nil {
+			n.tokens += tokens
+		}
+	}
+}
+
+// leave ends a generation.
+func (e *Emulator) leave(g *generation, tokens int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hold(g.path, -tokens)
+	if e.generations[g.id] == g {
+		delete(e.generations, g.id)
+	}
+}
+
+// refusal is an engine's word that it didn't run the request.
+func refusal(status int, fault string) driver.Reply {
+	return driver.Reply{Status: status, Header: http.Header{}, Body: http.NoBody, NotRun: true, Fault: fault}
+}
+
+// write reads the prompt and writes the events after the one given.
+func (e *Emulator) write(ctx context.Context, g *generation, w io.Writer, prompt, answer, after int) error {
+	if err := e.pass(ctx, g, prompt+after*e.cfg.Stride, 0); err != nil {
+		return err
+	}
+	for n := after; n*e.cfg.Stride < answer; n++ {
+		if err := e.pass(ctx, g, 0, e.cfg.Stride); err != nil {
+			return err
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: %s %d\n\n", n+1, g.id, n+1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pass takes some tokens through all engines of the path: read of the prompt, or
+// written as steps. It waits for engines that don't answer until the path is
+// changed or the stall is over.
+func (e *Emulator) pass(ctx context.Context, g *generation, read, steps int) error {
+	for at := 0; ; at++ {
+		e.mu.Lock()
+		if at >= len(g.path) {
+			e.mu.Unlock()
+			return nil
+		}
+		part, moved := g.path[at], g.moved
+		n := e.engines[part.Address]
+		dead := n == nil || n.dead
+		wait := time.Duration(0)
+		if !dead {
+			wait = e.work(n, part, read, steps)
+		}
+		first := e.engines[g.path[0].Address]
+		gone := first == nil || first.dead
+		var fell chan struct{}
+		if first != nil {
+			fell = first.changed
+		}
+		e.mu.Unlock()
+		if gone {
+			if !first.dark {
+				return trace.ConnectionProblem(nil, "the connection was reset")
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		if dead {
+			wait = e.cfg.Stall
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return ctx.Err()
+		case <-fell:
+			timer.Stop()
+			at-- // looks again whether the first engine has ended
+		case <-moved:
+			timer.Stop()
+			at = -1 // begins the pass anew along the new path
+		case <-timer.C:
+			if dead {
+				return trace.ConnectionProblem(nil, "cut off: %s doesn't answer", part.Address)
+			}
+		}
+	}
+}
+
+// work returns how long an engine takes for its part. Prompts are read one after
+// the other, beside the steps. It needs the lock.
+func (e *Emulator) work(n *engine, part driver.Part, read, steps int) time.Duration {
+	share := float64(part.Last-part.First) / float64(e.cfg.Layers)
+	step := time.Duration(float64(steps)*float64(e.cfg.Step)*n.Pace*n.slow*share) + e.cfg.Hop
+	if read == 0 {
+		return step
+	}
+	now := time.Now()
+	if n.busy.Before(now) {
+		n.busy = now
+	}
+	millis := float64(read) / e.cfg.Read * n.ReadPace * n.slow * share
+	n.busy = n.busy.Add(time.Duration(millis * float64(time.Millisecond)))
+	return n.busy.Sub(now) + step
+}
--- a/internal/supervisor/arranger/arranger.go
+++ b/internal/supervisor/arranger/arranger.go
@@ -158,7 +158,8 @@
 // holder returns an engine as the plan sees it. One that was given an order
 // counts as holding the range until the order is reported or given up.
 func (a *Arranger) holder(now time.Time, engine *mapper.Engine, e registrar.Entry) Holder {
-	h := Holder{ID: e.ID, Centre: e.Centre, First: e.First, Last: e.Last,
+	h := Holder{
+		ID: e.ID, Centre: e.Centre, First: e.First, Last: e.Last,
 		Capacity: capacity(engine, e.Accelerator, roomRequests),
 		Most:     capacity(engine, e.Accelerator, leastRequests),
 	}
--- /dev/null
+++ b/internal/supervisor/forwarder/admit_test.go
@@ -0,0 +1,89 @@
+package forwarder
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/supervisor/listener"
+)
+
+func TestAdmission(t *testing.T) {
+	cases := []struct {
+		name   string
+		path   string
+		key    string
+		change func(w *world)
+		status int
+	}{
+		{"a proper request", pathGet, secret, nil, 200},
+		{"an unknown key", pathGet, "other", nil, 401},
+		{"no key", pathGet, "", nil, 401},
+		{"no route", "/none/", secret, nil, 404},
+		{"no configuration yet", pathGet, secret, func(w *world) { w.view.Configuration = nil }, 503},
+		{"a confirmation that is too old", pathGet, secret, func(w *world) { w.view.Confirmed = time.Now().Add(-4900 * time.Millisecond) }, 503},
+		{"one that is just young enough", pathGet, secret, func(w *world) { w.view.Confirmed = time.Now().Add(-4700 * time.Millisecond) }, 200},
+		{"an unknown key under an old confirmation", pathGet, "other", func(w *world) { w.view.Confirmed = time.Now().Add(-time.Minute) }, 503},
+		{"an anonymous route under an old confirmation", pathGet, "", func(w *world) {
+			w.view = View{Configuration: mapper.New(mapper.Draft{
+				Version: 2, Keyed: true, Services: []mapper.Service{{Name: "desk"}},
+				Routes: []mapper.Route{{
+					Host: host, Prefix: pathGet, Anonymous: true, Attempts: 1,
+					Offers: []mapper.Offer{{Service: "desk", Weight: 1}},
+				}},
+			})}
+		}, 200},
+		{"a body over the limit", pathGet, secret, func(w *world) {
+			w.view.Configuration = mapper.New(mapper.Draft{Version: 2, Limits: mapper.Limits{BodyBytes: 3}, Routes: routes()})
+		}, 413},
+		{"a header over the limit", pathGet, secret, func(w *world) {
+			w.view.Configuration = mapper.New(mapper.Draft{Version: 2, Limits: mapper.Limits{HeaderBytes: 20}, Routes: routes()})
+		}, 431},
+		{"a node that has closed", pathGet, secret, func(w *world) { w.f.cfg.Gate.Close() }, 503},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var sent []driver.Forward
+				w := newWorld(t, relayOf(&sent, own(200, "ok")), desk()...)
+				if c.change != nil {
+					c.change(w)
+				}
+				r := httptest.NewRequestWithContext(t.Context(), "POST", "http://"+host+c.path+"1", strings.NewReader("body"))
+				r.Header.Set("Key", c.key)
+				a := w.serve(r)
+				if got, want := a.Code, c.status; got != want {
+					t.Errorf("status: got %d, want %d, %s", got, want, a.Body)
+				}
+				if c.status != 200 && len(sent) > 0 {
+					t.Errorf("a refused request was sent on")
+				}
+				if a.Code == 503 && a.Header().Get("Connection") != "close" {
+					t.Errorf("the caller is kept at a node that can't serve it")
+				}
+			})
+		})
+	}
+}
+
+// A node that stops answers what callers still send for a while, and asks them
+// to go.
+func TestLeavingNodeServesAndClosesConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sent []driver.Forward
+		w := newWorld(t, relayOf(&sent, own(200, "ok")), desk()...)
+		w.f.cfg.Gate = listener.NewGate()
+		w.f.cfg.Gate.Leave()
+		a := w.ask(t.Context(), "GET", pathGet+"1", "r1", "")
+		if got, want := a.Code, 200; got != want {
+			t.Errorf("status: got %d, want %d", got, want)
+		}
+		if got, want := a.Header().Get("Connection"), "close"; got != want {
+			t.Errorf("Connection: got %q, want %q", got, want)
+		}
+	})
+}
--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -108,5 +108,11 @@
 		_, ok := table.Get(id)
 		return ok
 	})
+	known := make(map[string]bool, table.Len())
+	for _, e := range table.All() {
+		known[e.Address], known[e.ID] = true, true
+	}
+	f.prober.keep(known)
+	f.monitor.reports.keep(known)
 	return next
 }
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -117,6 +117,11 @@
 	// confirmed is the age of the configuration's confirmation at the check.
 	confirmed time.Duration
 	version   int64
+	// need is the tokens that a generation will hold.
+	need int
+	// after is the ID of the last event that the caller has. Like what follows
+	// it belongs to the request's goroutine.
+	after string
 	// tried holds the IDs of the endpoints that are not asked again.
 	tried map[string]bool
 	// sends counts what was sent, and runs what an endpoint began to work on
@@ -222,7 +227,7 @@
 	case err != nil:
 		return refuser.New(refuser.BadRequest, "%v", err)
 	}
-	c.Request = req
+	c.Request, c.need, c.after = req, req.tokens(), req.After
 	return nil
 }
 
@@ -256,7 +261,7 @@
 	return driver.Forward{
 		ID: c.ID, Method: c.Method, Target: c.Target, Host: c.Host, Header: c.Header, Body: c.Body,
 		Endpoint: endpoint, Organisation: c.organisation.Name, Remaining: left,
-		After: c.After, Priority: c.rank(),
+		After: c.after, Priority: c.rank(),
 	}
 }
 
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -276,7 +276,7 @@
 			return trace.ConnectionProblem(err, "writing to the caller")
 		}
 		if e.id != "" {
-			c.After = e.id
+			c.after = e.id
 		}
 		s.progress(f.cfg.Now())
 	}
--- /dev/null
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -0,0 +1,240 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/standin/emulator"
+)
+
+// centres are three data centres: a has two holders of most layers, b and c hold
+// all layers once.
+func centres() map[string][][2]int {
+	return map[string][][2]int{
+		"a": {{0, 20}, {20, 40}, {40, 60}, {60, 80}, {20, 40}},
+		"b": {{0, 20}, {20, 40}, {40, 60}, {60, 80}},
+		"c": {{0, 20}, {20, 40}, {40, 60}, {60, 80}},
+	}
+}
+
+// check tells what is wrong with a stream's answer.
+func check(a answer, id string, events int) string {
+	var want strings.Builder
+	for n := range events {
+		fmt.Fprintf(&want, "id: %d\ndata: %s %d\n\n", n+1, id, n+1)
+	}
+	switch {
+	case a.cut:
+		return "it was cut"
+	case a.Code != http.StatusOK:
+		return fmt.Sprintf("status %d: %s", a.Code, a.Body)
+	case a.Body.String() != want.String():
+		return fmt.Sprintf("the events are not 1 to %d, once and in order", events)
+	}
+	return ""
+}
+
+// run starts some streams, does what is given after a second, and returns the
+// answers.
+func (w *world) run(t *testing.T, streams int, do func()) []answer {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = w.f.Step().Run(ctx) }()
+	answers := make([]answer, streams)
+	var wg sync.WaitGroup
+	for n := range streams {
+		wg.Go(func() {
+			time.Sleep(time.Duration(n) * 13 * time.Millisecond)
+			answers[n] = w.ask(ctx, "POST", pathLLM+"1", fmt.Sprintf("r%d", n), string(emulator.Body(800, 200)))
+		})
+	}
+	time.Sleep(time.Second)
+	do()
+	wg.Wait()
+	return answers
+}
+
+// The patterns: an engine ends while streams run through it. A reset first
+// engine is seen at once; a silent one, or one further along the path, by the
+// silence of its streams and by trying to connect.
+func TestStreamsGoOnAfterACrash(t *testing.T) {
+	cases := []struct {
+		name  string
+		lost  string
+		dark  bool
+		moved bool
+		// within is the longest pause between two events, on time for callers.
+		within time.Duration
+	}{
+		{"the first engine, reset", "a0:1", false, false, 200 * time.Millisecond},
+		{"the first engine, silent", "a0:1", true, false, 200 * time.Millisecond},
+		{"an engine that has a second, refusing", "a1:1", false, true, 200 * time.Millisecond},
+		{"an engine that has a second, silent", "a1:1", true, true, 200 * time.Millisecond},
+		{"an engine that has none in its data centre, silent", "a2:1", true, false, 200 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all, entries := engines(centres())
+				e := emulator.New(emulator.Defaults(), all)
+				w := newWorld(t, e.Relay(), entries...)
+				const streams = 12
+				for n, a := range w.run(t, streams, func() { e.Kill(c.lost, c.dark) }) {
+					if fault := check(a, fmt.Sprintf("r%d", n), 100); fault != "" {
+						t.Errorf("stream %d: %s", n, fault)
+					}
+				}
+				if got, want := longest(w), c.within; got > want {
+					t.Errorf("longest pause: got %v, want at most %v", got, want)
+				}
+				sends, repaths := e.Counts()
+				if got, want := repaths > 0, c.moved; got != want {
+					t.Errorf("paths changed: got %v (%d), want %v", got, repaths, want)
+				}
+				if c.moved && sends != streams {
+					t.Errorf("got %d sends, want %d: a changed path needs none", sends, streams)
+				}
+			})
+		})
+	}
+}
+
+// longest is the longest pause between two events of any stream.
+func longest(w *world) time.Duration {
+	var s struct{ Max float64 }
+	_, _ = fmt.Sscanf(w.latencies.Pauses.String()[strings.Index(w.latencies.Pauses.String(), "max_ms"):], `max_ms":%f}`, &s.Max)
+	return time.Duration(s.Max * float64(time.Millisecond))
+}
+
+// The pattern: an engine crashes while the budget of repeats is spent. The
+// streams through it have no way on, those beside it are left alone.
+func TestStreamsOfASpentBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, entries := engines(centres())
+		e := emulator.New(emulator.Defaults(), all)
+		w := newWorld(t, e.Relay(), entries...)
+		w.slack = 0
+		cut := 0
+		for n, a := range w.run(t, 8, func() { e.Kill("a0:1", false) }) {
+			if check(a, fmt.Sprintf("r%d", n), 100) != "" {
+				cut++
+				if a.Code == http.StatusOK && !a.cut {
+					t.Errorf("stream %d ended early and looks whole", n)
+				}
+			}
+		}
+		sends, _ := e.Counts()
+		if got, want := sends, 8+1; got > want {
+			t.Errorf("sends: got %d, want at most %d, by the budget", got, want)
+		}
+		if cut == 0 {
+			t.Errorf("no stream was cut, though their first engine ended and nothing may be repeated")
+		}
+	})
+}
+
+// The pattern: engines restart empty under their address, and nodes still
+// believe that they hold layers.
+func TestPathsAvoidEnginesThatLostTheirLayers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, entries := engines(centres())
+		for i := range all {
+			if all[i].Address == "a2:1" {
+				all[i].First, all[i].Last = 0, 0
+			}
+		}
+		e := emulator.New(emulator.Defaults(), all)
+		w := newWorld(t, e.Relay(), entries...)
+		for n, a := range w.run(t, 10, func() {}) {
+			if fault := check(a, fmt.Sprintf("r%d", n), 100); fault != "" {
+				t.Errorf("stream %d: %s", n, fault)
+			}
+		}
+		sends, _ := e.Counts()
+		if got, want := sends, 12; got > want {
+			t.Errorf("sends for 10 streams: got %d, want at most %d", got, want)
+		}
+	})
+}
+
+// The pattern: an engine becomes twelve times slower. New streams go elsewhere.
+func TestNewStreamsAvoidASlowEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, entries := engines(centres())
+		e := emulator.New(emulator.Defaults(), all)
+		w := newWorld(t, e.Relay(), entries...)
+		w.run(t, 6, func() { e.Slow("a2:1", 12) })
+		if got, want := w.f.Pace("a2"), 12.0; got != want {
+			t.Fatalf("pace of the slow engine: got %v, want %v", got, want)
+		}
+		path, err := w.f.path(&call{
+			need: 1000, service: "llm", members: w.f.fleet(w.view.Configuration).services["llm"],
+		}, "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range path {
+			if p.ID == "a2" {
+				t.Errorf("a new path %v uses the slow engine", ids(path))
+			}
+		}
+	})
+}
+
+func TestCallerThatLeavesEndsItsGeneration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan struct{})
+		_, entries := engines(map[string][][2]int{"a": {{0, 80}}})
+		w := newWorld(t, driver.Relay{Send: func(ctx context.Context, _ string, _ driver.Forward) (driver.Reply, error) {
+			r, pw := io.Pipe()
+			go func() {
+				<-ctx.Done()
+				_ = pw.CloseWithError(ctx.Err())
+				close(ended)
+			}()
+			return driver.Reply{Status: 200, Signed: true, Header: http.Header{}, Body: r}, nil
+		}}, entries...)
+		ctx, cancel := context.WithCancel(t.Context())
+		left := time.Now()
+		go func() {
+			time.Sleep(100 * time.Millisecond)
+			left = time.Now()
+			cancel()
+		}()
+		w.ask(ctx, "POST", pathLLM+"1", "r1", "800,200")
+		<-ended
+		if got, want := time.Since(left), 500*time.Millisecond; got > want {
+			t.Errorf("the engine was told %v after the caller left, want within %v", got, want)
+		}
+	})
+}
+
+func TestTornEventIsNotShown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, entries := engines(map[string][][2]int{"a": {{0, 80}}, "b": {{0, 80}}})
+		var after []string
+		bodies := []string{"id: 1\ndata: x\n\nid: 2\nda", "id: 2\ndata: y\n\n"}
+		w := newWorld(t, driver.Relay{
+			Send: func(_ context.Context, _ string, f driver.Forward) (driver.Reply, error) {
+				after = append(after, f.After)
+				body := bodies[min(len(after), len(bodies))-1]
+				return driver.Reply{Status: 200, Signed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}, nil
+			},
+		}, entries...)
+		a := w.ask(t.Context(), "POST", pathLLM+"1", "r1", "800,200")
+		if got, want := a.Body.String(), "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+		if got, want := strings.Join(after, ","), ",1"; got != want {
+			t.Errorf("went on after: got %q, want %q", got, want)
+		}
+	})
+}
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -293,7 +293,7 @@
 	if !ok || len(members.versions) == 0 {
 		return false
 	}
-	path, ok := m.f.find(choice{members: members, version: members.versions[0], need: s.c.tokens(), careful: true, moving: true})
+	path, ok := m.f.find(choice{members: members, version: members.versions[0], need: s.c.need, careful: true, moving: true})
 	if !ok {
 		return false
 	}
@@ -324,7 +324,7 @@
 		}
 	}
 	return m.f.find(choice{
-		members: members, version: version, need: s.c.tokens(), exclude: exclude, careful: true,
+		members: members, version: version, need: s.c.need, exclude: exclude, careful: true,
 		head: &head, kept: state.path,
 	})
 }
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -110,7 +110,7 @@
 		}
 		version = c.members.versions[0]
 	}
-	ch := choice{members: c.members, version: version, need: c.tokens(), exclude: c.tried, careful: true, moving: c.answered}
+	ch := choice{members: c.members, version: version, need: c.need, exclude: c.tried, careful: true, moving: c.answered}
 	if path, ok := f.find(ch); ok {
 		return path, nil
 	}
--- /dev/null
+++ b/internal/supervisor/forwarder/pather/pather_test.go
@@ -0,0 +1,101 @@
+package pather
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func engine(id, centre string, first, last int) Engine {
+	return Engine{ID: id, Address: id, Centre: centre, First: first, Last: last, Hop: 0.3, Layer: 0.1}
+}
+
+func names(path []Part) string {
+	s := ""
+	for _, p := range path {
+		s += fmt.Sprintf("%s[%d,%d) ", p.ID, p.First, p.Last)
+	}
+	return s
+}
+
+func TestFind(t *testing.T) {
+	whole := []Engine{engine("a1", "a", 0, 4), engine("a2", "a", 4, 8), engine("b1", "b", 0, 4), engine("b2", "b", 4, 8)}
+	cases := []struct {
+		name    string
+		engines []Engine
+		head    *Part
+		want    string
+	}{
+		{"the own data centre", whole, nil, "a1[0,4) a2[4,8) "},
+		{"a whole path elsewhere before one that crosses", whole[1:], nil, "b1[0,4) b2[4,8) "},
+		{"a crossing where no data centre has a whole path", []Engine{whole[1], whole[2]}, nil, "b1[0,4) a2[4,8) "},
+		{"no path if a layer has no holder", whole[:1], nil, ""},
+		{"a part of a holder's range", append(whole[:1:1], engine("a3", "a", 2, 8)), nil, "a1[0,4) a3[4,8) "},
+		{"the head that was asked for", whole, &Part{Address: "b1", Last: 4}, "b1[0,4) b2[4,8) "},
+		{"no path from a head that is gone", whole[:2], &Part{Address: "b1", Last: 4}, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			path, ok := Find(Request{Layers: 8, Engines: c.engines, Centre: "a", Away: 2, Crossing: 30, Head: c.head})
+			if got := names(path); got != c.want || ok != (c.want != "") {
+				t.Errorf("got %q, %v, want %q", got, ok, c.want)
+			}
+		})
+	}
+}
+
+func TestCrossings(t *testing.T) {
+	a, b := Part{Centre: "a"}, Part{Centre: "b"}
+	cases := []struct {
+		path []Part
+		want int
+	}{
+		{[]Part{a, a}, 0}, {[]Part{a, b}, 2}, {[]Part{a, b, a}, 2}, {[]Part{a, b, a, b}, 4}, {nil, 0},
+	}
+	for _, c := range cases {
+		if got := Crossings(c.path); got != c.want {
+			t.Errorf("%v: got %d, want %d", c.path, got, c.want)
+		}
+	}
+}
+
+// A path runs each layer once and in order, on an engine that holds it, and
+// uses none twice; where single engines hold all layers, there is one.
+func TestPathsAreExactCovers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		layers := rapid.IntRange(1, 12).Draw(t, "layers")
+		var engines []Engine
+		for i := range rapid.IntRange(0, 8).Draw(t, "engines") {
+			first := rapid.IntRange(0, layers-1).Draw(t, "first")
+			last := rapid.IntRange(first+1, layers).Draw(t, "last")
+			centre := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "centre")
+			engines = append(engines, engine(fmt.Sprint(i), centre, first, last))
+		}
+		path, ok := Find(Request{Layers: layers, Engines: engines, Centre: "a", Away: 2, Crossing: 30})
+		if !ok {
+			for _, e := range engines {
+				if e.First == 0 && e.Last == layers {
+					t.Fatalf("no path, though %s holds all layers", e.ID)
+				}
+			}
+			return
+		}
+		at, used := 0, map[string]bool{}
+		for _, p := range path {
+			var e Engine
+			for _, each := range engines {
+				if each.ID == p.ID {
+					e = each
+				}
+			}
+			if p.First != at || p.Last <= p.First || e.First > p.First || e.Last < p.Last || used[p.ID] {
+				t.Fatalf("path %s at layer %d of engines %v", names(path), at, engines)
+			}
+			at, used[p.ID] = p.Last, true
+		}
+		if at != layers {
+			t.Fatalf("path %s ends at layer %d of %d", names(path), at, layers)
+		}
+	})
+}
--- a/internal/supervisor/forwarder/prober.go
+++ b/internal/supervisor/forwarder/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 )
@@ -72,12 +73,8 @@
 }
 
 // keep forgets the tries of addresses that are gone.
-func (p *prober) keep(known func(address string) bool) {
+func (p *prober) keep(known map[string]bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address := range p.knocks {
-		if !known(address) {
-			delete(p.knocks, address)
-		}
-	}
+	maps.DeleteFunc(p.knocks, func(address string, _ *knock) bool { return !known[address] })
 }
--- a/internal/supervisor/forwarder/reporter.go
+++ b/internal/supervisor/forwarder/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -57,6 +58,13 @@
 	return reports
 }
 
+// keep forgets the reports of engines that are gone.
+func (r *reporter) keep(known map[string]bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	maps.DeleteFunc(r.inquiries, func(id string, _ *inquiry) bool { return !known[id] })
+}
+
 // begin returns a recent inquiry, or a new one.
 func (r *reporter) begin(address, endpoint string) *inquiry {
 	r.mu.Lock()
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -67,7 +67,7 @@
 		s.release()
 	}
 	s.path = path
-	s.release = s.f.assessor.Begin(ids(path), s.c.tokens())
+	s.release = s.f.assessor.Begin(ids(path), s.c.need)
 }
 
 // stop ends the count of the path's work.
--- /dev/null
+++ b/internal/supervisor/forwarder/world_test.go
@@ -0,0 +1,182 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/driver"
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/registrar"
+	"banyanquay/internal/standin/emulator"
+	"banyanquay/internal/supervisor/forwarder/budgeter"
+	"banyanquay/internal/supervisor/listener"
+)
+
+// world is a forwarder before endpoints in memory.
+type world struct {
+	t         *testing.T
+	f         *Forwarder
+	mu        sync.Mutex
+	view      View
+	table     registrar.Table
+	latencies *counter.Latencies
+	counters  *counter.Set
+	// slack is the repeats that are left in a window.
+	slack float64
+	// told are the engines that other nodes were told of.
+	told []string
+}
+
+// Names used in the tests.
+const (
+	host    = "a.example"
+	secret  = "secret"
+	pathLLM = "/llm/"
+	pathGet = "/get/"
+	pathPut = "/put/"
+)
+
+// routes are a resumable stream, an idempotent and a non-idempotent route.
+func routes() []mapper.Route {
+	return []mapper.Route{
+		{
+			Name: "stream", Host: host, Prefix: pathLLM, Kind: mapper.Streaming, Resumable: true, Attempts: 2,
+			Offers: []mapper.Offer{{Service: "llm", Weight: 1}}, Timeout: 20 * time.Second, Target: 500 * time.Millisecond,
+		},
+		{
+			Name: "get", Host: host, Prefix: pathGet, Kind: mapper.Idempotent, Attempts: 2,
+			Offers: []mapper.Offer{{Service: "desk", Weight: 1}}, Timeout: 2 * time.Second, Target: 300 * time.Millisecond,
+		},
+		{
+			Name: "put", Host: host, Prefix: pathPut, Kind: mapper.NonIdempotent, Attempts: 1,
+			Offers: []mapper.Offer{{Service: "desk", Weight: 1}}, Timeout: 2 * time.Second, Target: 300 * time.Millisecond,
+		},
+	}
+}
+
+// newWorld returns a forwarder whose configuration was confirmed just now.
+func newWorld(t *testing.T, relay driver.Relay, entries ...registrar.Entry) *world {
+	w := &world{t: t, latencies: counter.NewLatencies(), counters: counter.New(), slack: 200}
+	w.view = View{Confirmed: time.Now(), Configuration: mapper.New(mapper.Draft{
+		Version: 1, Routes: routes(), Keyed: true,
+		Organisations: map[string]mapper.Organisation{secret: {Name: "org"}},
+		Services: []mapper.Service{{Name: "desk"}, {Name: "llm", Engine: &mapper.Engine{
+			Slots: 192, Layers: 80, LayerMB: 1750, CacheBytes: 426000, Step: 850 * time.Microsecond, Stride: 2,
+			Accelerators: []mapper.Accelerator{{Name: "l4", MB: 80000, Pace: 16}},
+		}}},
+	})}
+	changes := make([]registrar.Change, 0, len(entries))
+	for _, e := range entries {
+		changes = append(changes, registrar.Change{ID: e.ID, Entry: &e})
+	}
+	w.table = registrar.Table{}.With(time.Now(), time.Now(), changes)
+	w.f = New(Config{
+		Decode: decode,
+		View: func() View {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.view
+		},
+		Endpoints: func() *registrar.Table { return &w.table },
+		Relay:     relay,
+		Budget: budgeter.New(budgeter.Config{
+			Limits: func() (float64, float64) { return 0.2, w.slack }, Window: 10 * time.Second,
+			Nodes:  func() int { return 1 },
+			Others: func(string) (budgeter.Spent, int) { return budgeter.Spent{}, 0 },
+			Now:    time.Now,
+		}),
+		Centre: "a", KeyAge: func() time.Duration { return 4800 * time.Millisecond },
+		Nodes: func() int { return 1 }, Near: func() int { return 1 },
+		Others: func(string) (int, int) { return 0, 0 },
+		Silent: func(id string) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.told = append(w.told, id)
+		},
+		Gate: listener.NewGate(), Now: time.Now,
+		Recorder: recorder.Nop(), Counters: w.counters, Latency: w.latencies,
+	})
+	return w
+}
+
+// decode reads a test's request: its key, ID and size lie in plain headers.
+func decode(r *http.Request, arrived time.Time) (Request, error) {
+	body := make([]byte, max(r.ContentLength, 0))
+	if _, err := r.Body.Read(body); err != nil && r.ContentLength > 0 && err.Error() != "EOF" {
+		return Request{}, err
+	}
+	var prompt, answer int
+	_, _ = fmt.Sscanf(string(body), "%d,%d", &prompt, &answer)
+	return Request{
+		ID: r.Header.Get("ID"), Method: r.Method, Path: r.URL.Path, Target: r.URL.RequestURI(), Host: r.Host,
+		Header: http.Header{}, Body: body, Key: r.Header.Get("Key"), Wait: 4 * time.Second, Arrived: arrived,
+		Prompt: prompt, Answer: answer, After: r.Header.Get("After"),
+	}, nil
+}
+
+// answer is what a caller got.
+type answer struct {
+	*httptest.ResponseRecorder
+	// cut is set if the connection was closed before the end.
+	cut bool
+}
+
+// ask sends a request with the right key and returns its answer.
+func (w *world) ask(ctx context.Context, method, path, id, body string) answer {
+	r := httptest.NewRequestWithContext(ctx, method, "http://"+host+path, strings.NewReader(body))
+	r.Header.Set("ID", id)
+	r.Header.Set("Key", secret)
+	return w.serve(r)
+}
+
+// serve serves a request.
+func (w *world) serve(r *http.Request) (a answer) {
+	a = answer{ResponseRecorder: httptest.NewRecorder()}
+	defer func() {
+		if p := recover(); p != nil {
+			if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panic(p)
+			}
+			a.cut = true
+		}
+	}()
+	w.f.ServeHTTP(a, r)
+	return a
+}
+
+// desk returns two endpoints of a plain service.
+func desk() []registrar.Entry {
+	return []registrar.Entry{
+		{ID: "d1", Service: "desk", Address: "d1:1", Centre: "a", Slots: 6},
+		{ID: "d2", Service: "desk", Address: "d2:1", Centre: "b", Slots: 6},
+	}
+}
+
+// engines returns engines for an emulator and their entries: each data centre has
+// the ranges given.
+func engines(centres map[string][][2]int) ([]emulator.Engine, []registrar.Entry) {
+	var all []emulator.Engine
+	var entries []registrar.Entry
+	for centre, ranges := range centres {
+		for i, r := range ranges {
+			id := fmt.Sprintf("%s%d", centre, i)
+			all = append(all, emulator.Engine{
+				ID: id, Address: id + ":1", First: r[0], Last: r[1], Pace: 16, ReadPace: 8.2,
+			})
+			entries = append(entries, registrar.Entry{
+				ID: id, Service: "llm", Address: id + ":1", Centre: centre, Accelerator: "l4", Model: "m",
+				Version: "1", First: r[0], Last: r[1], Slots: 192,
+			})
+		}
+	}
+	return all, entries
+}
