--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -94,7 +94,7 @@
 func (f *Forwarder) Suspect(id string) {
 	if e, ok := f.cfg.Endpoints().Get(id); ok && !f.assessor.Doubtful(id) {
 		go func() {
-			if len(f.prober.silent([]string{e.Address})) > 0 {
+			if len(f.prober.gone([]string{e.Address})) > 0 {
 				f.doubt(e.ID, e.Address, silentTime, whySilent)
 			}
 		}()
--- a/internal/supervisor/forwarder/generate_test.go
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -27,7 +27,7 @@
 }
 
 // check tells what is wrong with a stream's answer.
-func check(a answer, id string, events int) string {
+func check(a reply, id string, events int) string {
 	var want strings.Builder
 	for n := range events {
 		fmt.Fprintf(&want, "id: %d\ndata: %s %d\n\n", n+1, id, n+1)
@@ -45,11 +45,11 @@
 
 // run starts some streams, does what is given after a second, and returns the
 // answers.
-func (w *world) run(t *testing.T, streams int, do func()) []answer {
+func (w *world) run(t *testing.T, streams int, do func()) []reply {
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go func() { _ = w.f.Step().Run(ctx) }()
-	answers := make([]answer, streams)
+	answers := make([]reply, streams)
 	var wg sync.WaitGroup
 	for n := range streams {
 		wg.Go(func() {
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -200,7 +200,7 @@
 
 // suspects returns the addresses on a stream's path that are at fault.
 func (m *monitor) suspects(s *session, state snapshot, silence time.Duration) []string {
-	bad := m.f.prober.silent(addresses(state.path))
+	bad := m.f.prober.gone(addresses(state.path))
 	for _, p := range state.path {
 		if slices.Contains(bad, p.Address) {
 			m.f.doubt(p.ID, p.Address, silentTime, whySilent)
--- a/internal/supervisor/forwarder/prober.go
+++ b/internal/supervisor/forwarder/prober.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"sync"
 	"time"
@@ -9,18 +10,38 @@
 
 const (
 	// knockTimeout is how long an engine may take to accept a connection: some
-	// fifteen times the round trip between data centres.
-	knockTimeout = 20 * time.Millisecond
+	// twenty times the round trip between data centres.
+	knockTimeout = 25 * time.Millisecond
+	// knockAgain is when a second connection is tried beside the first: the
+	// first packet may have been lost.
+	knockAgain = 8 * time.Millisecond
 	// knockFresh is how long a result is used again.
 	knockFresh = 100 * time.Millisecond
+	// knockLate is by how much a knock may end later than its timeout; more means
+	// that this node did not run, so that its result says nothing.
+	knockLate = 15 * time.Millisecond
+)
+
+// answer is what came of a try to connect.
+type answer int
+
+const (
+	// accepts is an endpoint that is there.
+	accepts answer = iota
+	// refuses is one whose machine says that it is not.
+	refuses
+	// silent is one of which nothing was heard.
+	silent
+	// unclear is a try that this node did not run in time.
+	unclear
 )
 
 // knock is the last try to connect to an endpoint.
 type knock struct {
 	// done is closed when the result is there.
-	done  chan struct{}
-	began time.Time
-	err   error
+	done   chan struct{}
+	began  time.Time
+	answer answer
 }
 
 // prober connects to endpoints to learn whether they are there. It is safe for
@@ -37,22 +58,34 @@
 	return &prober{knock: f, now: now, knocks: make(map[string]*knock)}
 }
 
-// silent returns those of the addresses that accept no connection.
-func (p *prober) silent(addresses []string) []string {
+// gone returns those of the addresses at which no endpoint is. Silence is
+// believed only of a few beside others that answer: otherwise it is more likely
+// this node that is cut off or slow.
+func (p *prober) gone(addresses []string) []string {
 	tries := make([]*knock, 0, len(addresses))
 	for _, address := range addresses {
 		tries = append(tries, p.begin(address))
 	}
-	var silent []string
-	for i, k := range tries {
+	counts := make(map[answer]int)
+	for _, k := range tries {
 		<-k.done
-		if k.err != nil {
-			silent = append(silent, addresses[i])
+		counts[k.answer]++
+	}
+	believed := counts[unclear] == 0 && counts[silent] <= mostSilent &&
+		(len(addresses) == 1 || counts[silent] < len(addresses)-counts[refuses])
+	var gone []string
+	for i, k := range tries {
+		if k.answer == refuses || (k.answer == silent && believed) {
+			gone = append(gone, addresses[i])
 		}
 	}
-	return silent
+	return gone
 }
 
+// mostSilent is how many endpoints of one path are believed to have fallen silent
+// at once.
+const mostSilent = 2
+
 // begin returns a recent try, or a new one.
 func (p *prober) begin(address string) *knock {
 	p.mu.Lock()
@@ -65,13 +98,33 @@
 	p.knocks[address] = k
 	go func() {
 		defer close(k.done)
-		ctx, cancel := context.WithTimeout(context.Background(), knockTimeout)
-		defer cancel()
-		k.err = p.knock(ctx, address)
+		k.answer = p.try(address, now)
 	}()
 	return k
 }
 
+// try connects once, and once more beside that if there is no answer soon.
+func (p *prober) try(address string, began time.Time) answer {
+	ctx, cancel := context.WithTimeout(context.Background(), knockTimeout)
+	defer cancel()
+	results := make(chan error, 2)
+	connect := func() { results <- p.knock(ctx, address) }
+	go connect()
+	again := time.AfterFunc(knockAgain, connect)
+	defer again.Stop()
+	err := <-results
+	switch {
+	case err == nil:
+		return accepts
+	case ctx.Err() == nil && !errors.Is(err, context.DeadlineExceeded):
+		return refuses
+	case p.now().Sub(began) > knockTimeout+knockLate:
+		return unclear
+	default:
+		return silent
+	}
+}
+
 // keep forgets the tries of addresses that are gone.
 func (p *prober) keep(known map[string]bool) {
 	p.mu.Lock()
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -90,7 +90,7 @@
 			table := w.table
 			return &table
 		},
-		Relay:     relay,
+		Relay: relay,
 		Budget: budgeter.New(budgeter.Config{
 			Limits: func() (float64, float64) { return 0.2, w.slack }, Window: 10 * time.Second,
 			Nodes:  func() int { return 1 },
@@ -126,15 +126,15 @@
 	}, nil
 }
 
-// answer is what a caller got.
-type answer struct {
+// reply is what a caller got.
+type reply struct {
 	*httptest.ResponseRecorder
 	// cut is set if the connection was closed before the end.
 	cut bool
 }
 
 // ask sends a request with the right key and returns its answer.
-func (w *world) ask(ctx context.Context, method, path, id, body string) answer {
+func (w *world) ask(ctx context.Context, method, path, id, body string) reply {
 	r := httptest.NewRequestWithContext(ctx, method, "http://"+host+path, strings.NewReader(body))
 	r.Header.Set("ID", id)
 	r.Header.Set("Key", secret)
@@ -142,8 +142,8 @@
 }
 
 // serve serves a request.
-func (w *world) serve(r *http.Request) (a answer) {
-	a = answer{ResponseRecorder: httptest.NewRecorder()}
+func (w *world) serve(r *http.Request) (a reply) {
+	a = reply{ResponseRecorder: httptest.NewRecorder()}
 	defer func() {
 		if p := recover(); p != nil {
 			if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
