--- a/internal/standin/emulator/emulator.go
+++ b/internal/standin/emulator/emulator.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -151,7 +152,7 @@
 		<-ctx.Done()
 		return nil, trace.ConnectionProblem(ctx.Err(), "connecting to %s", address)
 	default:
-		return nil, trace.ConnectionProblem(nil, "%s refuses connections", address)
+		return nil, trace.ConnectionProblem(syscall.ECONNREFUSED, "connecting to %s", address)
 	}
 }
 
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -179,7 +179,7 @@
 // has ended doesn't count against the route's limit.
 func (f *Forwarder) count(c *call, s *session, first string) {
 	c.runs++
-	if len(f.prober.gone([]string{first})) == 0 {
+	if !f.prober.ended(first) {
 		s.ran()
 	}
 }
--- a/internal/supervisor/forwarder/generate_test.go
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -248,7 +249,11 @@
 // request runs on no more of them than its route allows; those that have ended
 // don't count.
 func TestAttemptsOfABrokenStream(t *testing.T) {
-	refuses := func(context.Context, string) error { return io.ErrUnexpectedEOF }
+	refuses := func(context.Context, string) error { return syscall.ECONNREFUSED }
+	hangs := func(ctx context.Context, _ string) error {
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	cases := []struct {
 		name  string
 		knock func(context.Context, string) error
@@ -257,6 +262,7 @@
 	}{
 		{"engines that live", alive, 2, false},
 		{"engines that have ended", refuses, 2, true},
+		{"engines that can't be reached", hangs, 2, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -277,7 +277,7 @@
 	}
 	// The attempt in progress counts unless its first engine has ended.
 	runs := state.runs + 1
-	if f.assessor.Doubtful(state.first().ID) {
+	if f.prober.ended(state.first().Address) {
 		runs--
 	}
 	return runs < c.route.Attempts && f.cfg.Budget.Affords(c.service)
--- a/internal/supervisor/forwarder/prober.go
+++ b/internal/supervisor/forwarder/prober.go
@@ -5,6 +5,7 @@
 	"errors"
 	"maps"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -82,6 +83,14 @@
 	return gone
 }
 
+// ended tells whether an address refuses connections, which proves that the
+// endpoint there has ended. Silence does not: it may be the way to it.
+func (p *prober) ended(address string) bool {
+	k := p.begin(address)
+	<-k.done
+	return k.answer == refuses
+}
+
 // mostSilent is how many endpoints of one path are believed to have fallen silent
 // at once.
 const mostSilent = 2
@@ -116,7 +125,7 @@
 	switch {
 	case err == nil:
 		return accepts
-	case ctx.Err() == nil && !errors.Is(err, context.DeadlineExceeded):
+	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
 		return refuses
 	case p.now().Sub(began) > knockTimeout+knockLate:
 		return unclear
--- a/internal/supervisor/forwarder/prober_test.go
+++ b/internal/supervisor/forwarder/prober_test.go
@@ -2,16 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
 func TestGone(t *testing.T) {
-	refuse := func(context.Context) error { return errors.New("refused") }
+	refuse := func(context.Context) error { return syscall.ECONNREFUSED }
 	accept := func(context.Context) error { return nil }
 	hang := func(ctx context.Context) error {
 		<-ctx.Done()
