Send orders without an answer again at once

An order depends on the engine's count of orders, so that a late one has no effect after its repeat.

The test loses every second order and carries it out later.

--- a/internal/supervisor/arranger/arranger.go
+++ b/internal/supervisor/arranger/arranger.go
@@ -37,9 +37,13 @@
 	// uselessPace is from which pace on an engine doesn't count as a holder of
 	// its layers: it can't read the prompts of its data centre any more.
 	uselessPace = 3
-	// orderTime is how long an order is waited for beyond the load: the
-	// platform may carry one out late.
-	orderTime = 6 * time.Second
+	// reportTime is how long an engine may take beyond the load to report it: two
+	// entries in the store and their reading.
+	reportTime = 3 * time.Second
+	// refusedTime and unansweredTime are the waits before another order to an
+	// engine that refused one, or did not answer.
+	refusedTime    = time.Second
+	unansweredTime = tick
 	// parallel bounds the orders on their way.
 	parallel = 16
 )
@@ -101,6 +105,8 @@
 	entry registrar.Entry
 	rng   Range
 	load  time.Duration
+	// atOnce is how many loads run before they slow each other down.
+	atOnce int
 }
 
 // look orders what is missing.
@@ -150,7 +156,7 @@
 	for _, r := range Plan(engine.Layers, holders) {
 		part := float64(r.Last-r.First) / float64(engine.Layers)
 		load := time.Duration(part * float64(engine.Load))
-		jobs = append(jobs, job{entry: entries[r.ID], rng: r, load: load})
+		jobs = append(jobs, job{entry: entries[r.ID], rng: r, load: load, atOnce: engine.LoadsAtOnce})
 	}
 	return jobs
 }
@@ -194,38 +200,58 @@
 // give sends the orders and waits for their answers.
 func (a *Arranger) give(ctx context.Context, fence uint64, jobs []job) {
 	var wg sync.WaitGroup
+	waits := make([]time.Duration, len(jobs))
 	slots := make(chan struct{}, parallel)
-	for _, j := range jobs {
-		a.orders[j.entry.ID] = order{
-			born: j.entry.Born, first: j.rng.First, last: j.rng.Last,
-			until: a.cfg.Now().Add(j.load*time.Duration(1+len(jobs)) + orderTime),
-		}
+	for i, j := range jobs {
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			a.order(ctx, fence, j)
+			waits[i] = a.order(ctx, fence, j)
 		})
 	}
 	wg.Wait()
+	now := a.cfg.Now()
+	for i, j := range jobs {
+		wait := waits[i]
+		if wait == 0 {
+			// All loads share the way to the weights.
+			wait = j.load*time.Duration(1+len(jobs)/max(j.atOnce, 1)) + reportTime
+		}
+		a.orders[j.entry.ID] = order{born: j.entry.Born, first: j.rng.First, last: j.rng.Last, until: now.Add(wait)}
+	}
 }
 
-// order sends one order. It depends on the engine's count of orders, so that
-// an earlier one that comes late has no effect after it.
-func (a *Arranger) order(ctx context.Context, fence uint64, j job) {
+// order sends one order, and returns how long to wait before the next one to that
+// engine; 0 means that this one is accepted. It depends on the engine's count of
+// orders, so that an earlier one that comes late has no effect after it, and it
+// may be sent again at once where there is no answer.
+func (a *Arranger) order(ctx context.Context, fence uint64, j job) time.Duration {
 	report, err := a.cfg.Report(ctx, j.entry.Address, j.entry.ID)
-	if err == nil {
+	switch {
+	case err != nil:
+	case report.Busy:
+		err = &driver.Refused{Reason: driver.ReasonState, Detail: "busy with another order"}
+	default:
 		err = a.cfg.Place(ctx, j.entry.Address, j.entry.ID, driver.Placement{
 			First: j.rng.First, Last: j.rng.Last, Fence: fence, Orders: report.Orders,
 		})
 	}
-	var refused *driver.Refused
-	if errors.As(err, &refused) && refused.Reason == driver.ReasonFence {
-		a.cfg.Fenced()
-	}
 	a.cfg.Counters.Placement.Add("orders", 1)
 	a.cfg.Recorder.Info(recorder.LoadBegun,
 		zap.String("endpoint", j.entry.ID), zap.String("address", j.entry.Address),
 		zap.Int("first", j.rng.First), zap.Int("last", j.rng.Last),
 		zap.Int("held_first", j.entry.First), zap.Int("held_last", j.entry.Last),
 		zap.Uint64("fence", fence), zap.Int64("orders", report.Orders), zap.Error(err))
+	var refused *driver.Refused
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &refused):
+		if refused.Reason == driver.ReasonFence {
+			a.cfg.Fenced()
+		}
+		return refusedTime
+	default:
+		return unansweredTime
+	}
 }
--- /dev/null
+++ b/internal/supervisor/arranger/arranger_test.go
@@ -0,0 +1,193 @@
+package arranger
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/driver"
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/registrar"
+)
+
+// yard is engines in memory that take orders.
+type yard struct {
+	// mu guards the orders, which come at once.
+	mu      sync.Mutex
+	entries map[string]registrar.Entry
+	orders  map[string]int64
+	// late holds orders that get no answer and are carried out later.
+	lose  func(n int) bool
+	late  []func()
+	sent  int
+	fence uint64
+	// leads is set while the arranger's node gives orders.
+	leads bool
+	pace  map[string]float64
+}
+
+func newYard(engines int) *yard {
+	y := &yard{
+		entries: map[string]registrar.Entry{}, orders: map[string]int64{}, lose: func(int) bool { return false },
+		leads: true, pace: map[string]float64{},
+	}
+	for n := range engines {
+		id := fmt.Sprintf("e%02d", n)
+		y.entries[id] = registrar.Entry{
+			ID: id, Service: "llm", Address: id, Centre: []string{"a", "b"}[n%2], Accelerator: "l4", Model: "m", Version: "1",
+		}
+	}
+	return y
+}
+
+// place carries out an order if it fits the engine's count.
+func (y *yard) place(id string, p driver.Placement) error {
+	if p.Fence < y.fence {
+		return &driver.Refused{Reason: driver.ReasonFence}
+	}
+	if p.Orders != y.orders[id] {
+		return &driver.Refused{Reason: driver.ReasonState}
+	}
+	y.fence = p.Fence
+	y.orders[id]++
+	e := y.entries[id]
+	e.First, e.Last = p.First, p.Last
+	y.entries[id] = e
+	return nil
+}
+
+func (y *yard) arranger() *Arranger {
+	return New(Config{
+		Configuration: func() *mapper.Configuration {
+			return mapper.New(mapper.Draft{Version: 1, Services: []mapper.Service{{Name: "llm", Engine: &mapper.Engine{
+				Layers: 80, LayerMB: 1750, CacheBytes: 426000, Load: 14 * time.Second, LoadsAtOnce: 6, Prompt: 772, Answer: 145,
+				Accelerators: []mapper.Accelerator{{Name: "l4", MB: 21600, Pace: 16}},
+			}}}})
+		},
+		Endpoints: func() *registrar.Table {
+			var all []registrar.Change
+			for id, e := range y.entries {
+				all = append(all, registrar.Change{ID: id, Entry: &e})
+			}
+			table := registrar.Table{}.With(time.Now(), time.Now(), all)
+			return &table
+		},
+		Report: func(_ context.Context, address, _ string) (driver.Report, error) {
+			y.mu.Lock()
+			defer y.mu.Unlock()
+			return driver.Report{Orders: y.orders[address]}, nil
+		},
+		Place: func(_ context.Context, address, _ string, p driver.Placement) error {
+			y.mu.Lock()
+			defer y.mu.Unlock()
+			y.sent++
+			if y.lose(y.sent) {
+				y.late = append(y.late, func() { _ = y.place(address, p) })
+				return trace.ConnectionProblem(nil, "no answer")
+			}
+			return y.place(address, p)
+		},
+		Pace:  func(id string) float64 { return y.pace[id] },
+		Leads: func() bool { return y.leads },
+		Fenced: func() {
+			y.mu.Lock()
+			defer y.mu.Unlock()
+			y.leads = false
+		},
+		Confirm: func(context.Context) (uint64, bool) {
+			return 3, y.leads
+		},
+		Now: time.Now, Recorder: recorder.Nop(), Counters: counter.New(),
+	})
+}
+
+// uncovered counts the layers of a data centre that no engine holds.
+func (y *yard) uncovered(centre string) int {
+	var holders []Holder
+	for _, e := range y.entries {
+		if !e.Leaving {
+			holders = append(holders, Holder{Centre: e.Centre, First: e.First, Last: e.Last})
+		}
+	}
+	return gaps(80, centre, holders)
+}
+
+func (y *yard) run(a *Arranger, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(tick) {
+		a.look(context.Background())
+	}
+}
+
+// The pattern: a share of the orders gets no answer and is carried out seconds
+// later, after newer ones.
+func TestLateOrdersLeaveNoGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(22)
+		y.lose = func(n int) bool { return n%2 == 0 }
+		a := y.arranger()
+		y.run(a, 4*time.Second)
+		for _, centre := range []string{"a", "b"} {
+			if got, want := y.uncovered(centre), 0; got != want {
+				t.Errorf("%s after 4 s: got %d layers without a holder, want %d", centre, got, want)
+			}
+		}
+		for _, do := range y.late {
+			do()
+		}
+		for _, centre := range []string{"a", "b"} {
+			if got, want := y.uncovered(centre), 0; got != want {
+				t.Errorf("%s after the late orders: got %d layers without a holder, want %d", centre, got, want)
+			}
+		}
+	})
+}
+
+func TestFencedArrangerStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(20)
+		y.fence = 9
+		a := y.arranger()
+		y.run(a, 5*time.Second)
+		if got, want := y.sent, 20; got > want {
+			t.Errorf("orders after an engine has seen a higher number: got %d in all, want at most %d", got, want)
+		}
+	})
+}
+
+// The pattern: an engine becomes useless, and its data centre must do without.
+func TestSlowEngineIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(22)
+		a := y.arranger()
+		y.run(a, 4*time.Second)
+		slow := "e00"
+		y.pace[slow] = 12
+		y.run(a, 8*time.Second)
+		e := y.entries[slow]
+		e.Leaving = true
+		y.entries[slow] = e
+		if got, want := y.uncovered("a"), 0; got != want {
+			t.Errorf("without the slow engine: got %d layers without a holder, want %d", got, want)
+		}
+	})
+}
+
+func TestNothingToDoCostsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(22)
+		a := y.arranger()
+		y.run(a, 5*time.Second)
+		sent := y.sent
+		y.run(a, 20*time.Second)
+		if got, want := y.sent, sent; got != want {
+			t.Errorf("orders: got %d, want the %d of the start", got, want)
+		}
+	})
+}
--- a/internal/supervisor/arranger/tile.go
+++ b/internal/supervisor/arranger/tile.go
@@ -55,7 +55,7 @@
 	if math.IsInf(cost[len(engines)][layers], 1) {
 		return nil
 	}
-	return trace(layers, engines, from)
+	return changed(layers, engines, from)
 }
 
 // cost is that of giving an engine a range.
@@ -68,8 +68,8 @@
 	return float64(last-first-held) + crowded*over*over
 }
 
-// trace follows a tiling back and returns the ranges that change.
-func trace(layers int, engines []Holder, from [][]int) []Range {
+// changed follows a tiling back and returns the ranges that change.
+func changed(layers int, engines []Holder, from [][]int) []Range {
 	var ranges []Range
 	end := layers
 	for i := len(engines); i > 0; i-- {
