Let one node of each data centre read the store for the others

Nodes that don't read ask the one that does over the links, get only what changed, and read the store themselves when it falls silent.

Choices are spread where the others' work is not known; looks are bounded for all nodes together.

--- a/internal/supervisor/announcer/announcer.go
+++ b/internal/supervisor/announcer/announcer.go
@@ -18,12 +18,13 @@
 const (
 	// retryInterval is the time between two tries to announce the node.
 	retryInterval = 700 * time.Millisecond
-	// freshTime is how long a list is used again. All nodes start together, so
-	// the first lists are short and soon out of date.
-	freshTime = 10 * time.Second
+	// freshTime is how long a list is used again: nodes that come later find this
+	// one. All nodes start together, so the first list is short and soon out of
+	// date.
+	freshTime = time.Minute
 	youngTime = 2 * time.Second
 	// young is how many reads are made at the shorter interval.
-	young = 3
+	young = 1
 )
 
 // Config says who this node is.
--- a/internal/supervisor/elector/elector.go
+++ b/internal/supervisor/elector/elector.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 // tick is the time between two looks at who leads.
 const tick = 400 * time.Millisecond
 
+// stagger is the time over which nodes that start together look first.
+const stagger = 500 * time.Millisecond
+
 // retryInterval is the time between two calls to a store that fails.
 const retryInterval = time.Second
 
@@ -83,6 +87,9 @@
 // Step takes part until its context ends.
 func (e *Elector) Step() grouper.Step {
 	return grouper.Step{Name: "elector", Run: func(ctx context.Context) error {
+		// Nodes that start together look one after the other, so that most find a
+		// holder and don't try.
+		grouper.Sleep(ctx, rand.N(stagger))
 		for ctx.Err() == nil {
 			if err := e.look(ctx); err != nil && ctx.Err() == nil {
 				e.cfg.Recorder.Warn(recorder.PlacementUnreachable, zap.Error(err))
--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -23,6 +23,8 @@
 	entries []registrar.Entry
 	// holders are those of them that hold layers.
 	holders []holder
+	// usual is the median time of a step of one layer, in milliseconds.
+	usual float64
 	// versions are the weights' versions in use, that of the most layers first.
 	versions []string
 }
@@ -50,6 +52,7 @@
 	}
 	for _, m := range f.services {
 		m.rank()
+		m.usual = usual(m.holders)
 	}
 	return f
 }
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"banyanquay/internal/driver"
 	"banyanquay/internal/grouper"
@@ -47,6 +48,12 @@
 	silentTime = 3 * time.Second
 	// stalledTime is how long one is avoided that others wait for.
 	stalledTime = 2 * time.Second
+	// knockRounds and reportRounds are how many paths a second all nodes together
+	// try to connect to, and ask; roundBurst is for how many seconds' rounds a node
+	// may make at once, as when an engine ends with many streams.
+	knockRounds  = 400
+	reportRounds = 30
+	roundBurst   = 2
 	// repathTimeout bounds an order to change a path.
 	repathTimeout = 150 * time.Millisecond
 )
@@ -56,14 +63,21 @@
 	f *Forwarder
 
 	reports *reporter
-	mu      sync.Mutex
+	// knocks and asks bound the rates of the two kinds of looks.
+	knocks *rate.Limiter
+	asks   *rate.Limiter
+
+	mu sync.Mutex
 	// surveyed is when all engines were last asked for their pace.
 	surveyed time.Time
 	sessions map[*session]bool
 }
 
 func newMonitor(f *Forwarder) *monitor {
-	return &monitor{f: f, reports: newReporter(f.cfg.Relay.Report, f.cfg.Now), sessions: make(map[*session]bool)}
+	return &monitor{
+		f: f, reports: newReporter(f.cfg.Relay.Report, f.cfg.Now), sessions: make(map[*session]bool),
+		knocks: rate.NewLimiter(rate.Inf, 1), asks: rate.NewLimiter(rate.Inf, 1),
+	}
 }
 
 // begin adds a session.
@@ -179,6 +193,15 @@
 	m.move(s, now, bad)
 }
 
+// allow tells whether this node may look into one more stream: all nodes
+// together do so at a bounded rate, so that an overload isn't fed by questions.
+func (m *monitor) allow(l *rate.Limiter, rounds float64) bool {
+	part := rounds / float64(max(m.f.cfg.Nodes(), 1))
+	l.SetLimit(rate.Limit(part))
+	l.SetBurst(max(int(part*roundBurst), 2))
+	return l.Allow()
+}
+
 // onlySlow tells whether the engines at fault answer, and are just slow.
 func (m *monitor) onlySlow(path []pather.Part, bad []string) bool {
 	for _, p := range path {
@@ -200,6 +223,9 @@
 
 // suspects returns the addresses on a stream's path that are at fault.
 func (m *monitor) suspects(s *session, state snapshot, silence time.Duration) []string {
+	if !m.allow(m.knocks, knockRounds) {
+		return nil
+	}
 	bad := m.f.prober.gone(addresses(state.path))
 	for _, p := range state.path {
 		if slices.Contains(bad, p.Address) {
@@ -209,6 +235,9 @@
 	if len(bad) > 0 || (silence < askAfter && state.looked < lookedOften) {
 		return bad
 	}
+	if !m.allow(m.asks, reportRounds) {
+		return nil
+	}
 	reports := m.reports.reports(state.path)
 	for _, p := range state.path {
 		if pace := reports[p.ID].Pace; pace > slowPace {
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -31,6 +31,9 @@
 	// keepGain is the part of its cost by which an engine that already has a
 	// stream's memory is preferred when the stream's path changes.
 	keepGain = 0.7
+	// blind is how strongly choices are spread where the work of other nodes is
+	// not known, against the time of a step on a usual engine.
+	blind = 3
 	// noise spreads equal choices, and burst those of streams that all move at
 	// the same moment over the data centres.
 	noise = 0.05
@@ -63,6 +66,7 @@
 	}
 	now := f.cfg.Now()
 	centres := make(map[string]float64)
+	spread := blind * f.unseen() * ch.members.usual
 	for _, h := range ch.members.holders {
 		if h.entry.Version != ch.version || ch.exclude[h.entry.ID] {
 			continue
@@ -88,12 +92,22 @@
 		req.Engines = append(req.Engines, pather.Engine{
 			ID: h.entry.ID, Address: h.entry.Address, Centre: h.entry.Centre,
 			First: h.entry.First, Last: h.entry.Last, Hop: hopCost * factor,
-			Layer: h.layer * factor * rec.Slowness(now),
+			Layer: (h.layer + spread*rand.ExpFloat64()) * factor * rec.Slowness(now),
 		})
 	}
 	return pather.Find(req)
 }
 
+// unseen is the share of the near nodes whose work is not known.
+func (f *Forwarder) unseen() float64 {
+	others := f.cfg.Near() - 1
+	if others <= 0 {
+		return 0
+	}
+	_, told := f.cfg.Others("")
+	return float64(max(others-told, 0)) / float64(others)
+}
+
 // used is how many tokens all nodes have in progress at an engine. Nodes that
 // have not told of theirs count as this one, if they are near.
 func (f *Forwarder) used(id string, own int) int {
@@ -151,6 +165,19 @@
 	return all
 }
 
+// usual returns the median time of a layer's step.
+func usual(holders []holder) float64 {
+	if len(holders) == 0 {
+		return 0
+	}
+	all := make([]float64, 0, len(holders))
+	for _, h := range holders {
+		all = append(all, h.layer)
+	}
+	slices.Sort(all)
+	return all[len(all)/2]
+}
+
 // holder is an engine that holds layers.
 type holder struct {
 	entry registrar.Entry
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -56,6 +56,11 @@
 	// frontendHeaderBytes is above any limit of the configuration, whose
 	// refusal has a code.
 	frontendHeaderBytes = 128 << 10
+	// acquaintance is how long nodes take to know each other after their start.
+	acquaintance = 3 * time.Second
+	// otherReaders is of how many other data centres the reading nodes are asked
+	// while the own one's doesn't answer.
+	otherReaders = 2
 	// fewNodes is below how many nodes of a caller's data centre it is also
 	// given those of others.
 	fewNodes = 2
@@ -102,6 +107,7 @@
 	cfg       RelayConfig
 	identity  identity
 	clock     chronometer.Chronometer
+	started   time.Time
 	recorder  *recorder.Recorder
 	gate      *listener.Gate
 	syncer    *syncer.Syncer
@@ -140,12 +146,13 @@
 		cfg: cfg, identity: identity{incarnation: uuid.NewString()}, clock: chronometer.New(),
 		recorder: recorder.New(cfg.Logger), gate: listener.NewGate(),
 	}
+	r.started = r.clock.Now()
 	s, p := cfg.Settings, cfg.Platform
 	r.reloader = reloader.New(reloader.Config{Path: cfg.Path, First: s, Recorder: r.recorder})
 	r.syncer = syncer.New(syncer.Config{
 		Topics: p.Topics, ConfigTopic: p.ConfigTopic, ConfigKey: p.ConfigKey, EndpointTopic: p.EndpointTopic,
 		Configuration: p.Configuration, Entry: p.Entry, Now: r.clock.Now,
-		Peers: r.peers,
+		Reads: r.reads, Readers: r.readers, Peers: r.peers,
 		Ask: func(ctx context.Context, address string, question []byte) ([]byte, error) {
 			return r.linker.Ask(ctx, address, linker.Store, question)
 		},
@@ -285,6 +292,43 @@
 	return live
 }
 
+// reads tells whether this node reads the store for the others of its data
+// centre. All do until they know each other.
+func (r *relay) reads() bool {
+	if r.clock.Now().Sub(r.started) < acquaintance {
+		return true
+	}
+	first := r.readersOf(r.cfg.Settings.Centre)
+	return len(first) == 0 || first[0] == r.cfg.Settings.Address
+}
+
+// readers are the nodes that read the store, that of the own data centre first.
+func (r *relay) readers() []string {
+	own := r.cfg.Settings.Centre
+	readers := r.readersOf(own)
+	var centres []string
+	for _, n := range r.tracker.Nodes() {
+		if n.Centre != own && n.Centre != "" && !slices.Contains(centres, n.Centre) {
+			centres = append(centres, n.Centre)
+		}
+	}
+	for _, centre := range ranker.Of(r.cfg.Settings.Address).Top(centres, otherReaders) {
+		readers = append(readers, r.readersOf(centre)...)
+	}
+	return readers
+}
+
+// readersOf is the node of a data centre that reads the store for the others.
+func (r *relay) readersOf(centre string) []string {
+	var live []string
+	for _, n := range r.tracker.Nodes() {
+		if n.Centre == centre && n.Live() && !n.Suspect {
+			live = append(live, n.Address)
+		}
+	}
+	return ranker.Of("reader").Top(live, 1)
+}
+
 // near is how many of them are in this node's data centre.
 func (r *relay) near() int {
 	n := 0
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,14 +14,18 @@
 )
 
 const (
+	// askInterval is the time between two questions of a node that doesn't read
+	// the store itself.
+	askInterval = 600 * time.Millisecond
 	// peerTick is the time between two looks at how old this node's knowledge
 	// is, and peerPause after answers that were no fresher.
 	peerTick  = 250 * time.Millisecond
 	peerPause = time.Second
-	// configurationAge and tableAge are from when on other nodes are asked: what
-	// the store tells in time is never that old.
-	configurationAge = 2*confirmWait + 300*time.Millisecond
-	tableAge         = 2*pollInterval + 200*time.Millisecond
+	// configurationAge and tableAge are from when on other nodes are asked, and
+	// the store by nodes that don't read it otherwise: what is told in time is
+	// never that old.
+	configurationAge = 2*confirmWait + askInterval + 200*time.Millisecond
+	tableAge         = pollInterval + askInterval + 250*time.Millisecond
 	// peerTimeout bounds a question to a node, and peersAsked how many are asked
 	// at once.
 	peerTimeout = 400 * time.Millisecond
@@ -34,6 +39,9 @@
 	_ struct{} `cbor:",toarray"`
 	// Version is that of the asking node's configuration; 0 if it has none.
 	Version int64
+	// Source and Since are of the last answer whose table was taken in.
+	Source string
+	Since  uint64
 }
 
 // knowledge is what a node knows of the store. Ages are as of the answer, so
@@ -47,7 +55,13 @@
 	// ListedMillis that of the table; under 0 if there is none.
 	ConfirmedMillis int64
 	ListedMillis    int64
-	Entries         []registrar.Entry
+	// Entries and Gone are what changed in the table since the question's number,
+	// or the whole table if Whole is set. At is the number to ask from next.
+	Entries []registrar.Entry
+	Gone    []string
+	Whole   bool
+	Source  string
+	At      uint64
 }
 
 // Answer answers another node's question.
@@ -61,6 +75,8 @@
 	s.mu.Lock()
 	view, raw := s.View(), *s.raw.Load()
 	table, listed := s.Table(), s.listed.Load()
+	k.Entries, k.Gone, k.Whole = s.history.since(table, q.Source, q.Since)
+	k.Source, k.At = s.history.source, s.history.at
 	s.mu.Unlock()
 	if view.Configuration != nil && !view.Confirmed.IsZero() {
 		k.ConfirmedMillis = s.cfg.Now().Sub(view.Confirmed).Milliseconds() + 1
@@ -70,30 +86,40 @@
 	}
 	if listed != nil {
 		k.ListedMillis = s.cfg.Now().Sub(*listed).Milliseconds() + 1
-		k.Entries = table.All()
 	}
 	return encoder.CBOR(k)
 }
 
-// followPeers asks other nodes while the store doesn't answer this one.
+// followPeers asks the nodes that read the store for this one, and others while
+// the store doesn't answer it or those.
 func (s *Syncer) followPeers(ctx context.Context) error {
 	for grouper.Sleep(ctx, peerTick) {
-		if !s.old() {
-			continue
+		if !s.cfg.Reads() {
+			s.askReaders(ctx)
 		}
-		if !s.askPeers(ctx) {
+		if s.old() && !s.askPeers(ctx) {
 			grouper.Sleep(ctx, peerPause)
 		}
 	}
 	return nil
 }
 
+// askReaders asks the first node that reads the store and knows something new, and
+// waits for the next time.
+func (s *Syncer) askReaders(ctx context.Context) {
+	for _, address := range s.cfg.Readers() {
+		if s.askPeer(ctx, address) {
+			break
+		}
+	}
+	grouper.Sleep(ctx, askInterval-peerTick)
+}
+
 // old tells whether this node's knowledge is older than a store that answers
 // would leave it.
 func (s *Syncer) old() bool {
 	now := s.cfg.Now()
-	listed := s.listed.Load()
-	return listed == nil || now.Sub(*listed) > tableAge || now.Sub(s.View().Confirmed) > configurationAge
+	return now.Sub(s.tableTime()) > tableAge || now.Sub(s.View().Confirmed) > configurationAge
 }
 
 // askPeers asks some nodes at once and tells whether one knew more.
@@ -119,6 +145,9 @@
 	if cfg := s.View().Configuration; cfg != nil {
 		q.Version = cfg.Version()
 	}
+	s.mu.Lock()
+	q.Source, q.Since = s.source, s.since
+	s.mu.Unlock()
 	body, err := encoder.CBOR(q)
 	if err != nil {
 		return false
@@ -159,20 +188,41 @@
 	s.view.Store(&view)
 	if k.ListedMillis >= 0 {
 		at := asked.Add(-time.Duration(k.ListedMillis) * time.Millisecond)
-		if listed := s.listed.Load(); listed == nil || at.Sub(*listed) > worth {
-			before := s.Table()
-			next := before.Replaced(s.cfg.Now(), s.cfg.Now(), k.Entries)
-			s.table.Store(&next)
-			s.listed.Store(&at)
-			s.record(before, &next)
+		if at.Sub(s.tableTime()) > worth && (k.Whole || k.Source == s.source) {
+			s.takeTable(k, at)
 			better = true
 		}
 	}
 	if better {
 		s.cfg.Counters.Config.Add("learnt_from_peers", 1)
+	}
+	if better && s.cfg.Reads() {
 		s.cfg.Recorder.Info(recorder.LearntFromNode, zap.String("node", address),
 			zap.Int64("confirmed_ms", k.ConfirmedMillis), zap.Int64("listed_ms", k.ListedMillis),
 			zap.Int("entries", len(k.Entries)), zap.Bool("configuration", len(k.Configuration) > 0))
 	}
 	return better
 }
+
+// takeTable takes in the table of an answer, or what changed in it. It needs the
+// lock.
+func (s *Syncer) takeTable(k knowledge, at time.Time) {
+	before, now := s.Table(), s.cfg.Now()
+	next := before.Replaced(now, now, k.Entries)
+	if !k.Whole {
+		changes := make([]registrar.Change, 0, len(k.Entries)+len(k.Gone))
+		for _, e := range k.Entries {
+			changes = append(changes, registrar.Change{ID: e.ID, Entry: &e})
+		}
+		for _, id := range k.Gone {
+			if !slices.ContainsFunc(k.Entries, func(e registrar.Entry) bool { return e.ID == id }) {
+				changes = append(changes, registrar.Change{ID: id})
+			}
+		}
+		next = before.With(now, now, changes)
+	}
+	s.replace(&next)
+	s.listed.Store(&at)
+	s.source, s.since = k.Source, k.At
+	s.record(before, &next)
+}
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -28,9 +28,12 @@
 	// the store's answer stay well within the time in which a key that was
 	// taken away must stop working.
 	confirmWait = 1500 * time.Millisecond
-	// pollInterval is the time between two reads of the endpoints: half of the
-	// time in which a leaving endpoint must get no more work.
-	pollInterval = 900 * time.Millisecond
+	// pollInterval is the time between two reads of the endpoints. With askInterval
+	// and a node that doesn't answer it stays within the time in which a leaving
+	// endpoint must get no more work.
+	pollInterval = 600 * time.Millisecond
+	// roleInterval is the time between two looks at whether this node reads.
+	roleInterval = 200 * time.Millisecond
 	// lapseTime is how long entries stay that the store dropped around its own
 	// outage: living endpoints are back within two seconds of its return.
 	lapseTime = 2300 * time.Millisecond
@@ -50,8 +53,11 @@
 	// Configuration and Entry decode records.
 	Configuration func(data []byte) (*mapper.Configuration, error)
 	Entry         func(id string, data []byte) (registrar.Entry, error)
-	// Peers returns the nodes to ask while the store doesn't answer, the best
-	// first, and Ask asks one.
+	// Reads tells whether this node reads the store for others. The others ask
+	// the nodes that Readers returns, and any of Peers while those don't answer or
+	// know nothing new; Ask asks one.
+	Reads    func() bool
+	Readers  func() []string
 	Peers    func() []string
 	Ask      func(ctx context.Context, address string, question []byte) ([]byte, error)
 	Now      func() time.Time
@@ -71,6 +77,12 @@
 	raw atomic.Pointer[[]byte]
 	// listed is as of when the table is known; nil before it has been read.
 	listed atomic.Pointer[time.Time]
+
+	// What follows is guarded by mu. history tells what changed in the table for
+	// nodes that ask, and source and since are where this node's table came from.
+	history history
+	source  string
+	since   uint64
 }
 
 // New returns a syncer that knows nothing yet.
@@ -79,6 +91,7 @@
 	s.view.Store(&forwarder.View{})
 	s.table.Store(&registrar.Table{})
 	s.raw.Store(&[]byte{})
+	s.history = newHistory()
 	return s
 }
 
@@ -143,6 +156,11 @@
 	known := false
 	var from provider.Offset
 	for ctx.Err() == nil {
+		if !s.reads(s.View().Confirmed, configurationAge) {
+			known = false
+			grouper.Sleep(ctx, roleInterval)
+			continue
+		}
 		asked := s.cfg.Now()
 		items, err := s.readConfiguration(ctx, known, from)
 		switch {
@@ -162,6 +180,20 @@
 	return nil
 }
 
+// reads tells whether this node reads the store itself: for others, or as nobody
+// has told it anything for too long.
+func (s *Syncer) reads(known time.Time, limit time.Duration) bool {
+	return s.cfg.Reads() || s.cfg.Now().Sub(known) > limit
+}
+
+// tableTime is as of when the table is known.
+func (s *Syncer) tableTime() time.Time {
+	if listed := s.listed.Load(); listed != nil {
+		return *listed
+	}
+	return time.Time{}
+}
+
 // readConfiguration reads the newest record, or waits for one after it.
 func (s *Syncer) readConfiguration(ctx context.Context, known bool, from provider.Offset) (provider.Items, error) {
 	if !known {
@@ -212,6 +244,11 @@
 	known := false
 	var from provider.Offset
 	for ctx.Err() == nil {
+		if !s.reads(s.tableTime(), tableAge) {
+			known = false
+			grouper.Sleep(ctx, roleInterval)
+			continue
+		}
 		asked := s.cfg.Now()
 		items, err := s.readEndpoints(ctx, known, from)
 		switch {
@@ -268,13 +305,21 @@
 	if whole {
 		next = before.Replaced(now, keepUntil, entries)
 	}
-	s.table.Store(&next)
+	s.replace(&next)
 	if !items.More {
 		s.listed.Store(&asked)
 	}
+	s.source = ""
 	s.record(before, &next)
 }
 
+// replace puts a table in force and notes what changes with it. It needs the
+// lock.
+func (s *Syncer) replace(next *registrar.Table) {
+	s.history.note(s.Table(), next)
+	s.table.Store(next)
+}
+
 // record writes what became of endpoints.
 func (s *Syncer) record(before, after *registrar.Table) {
 	for _, e := range after.All() {
