--- a/cmd/banyanquay/main.go
+++ b/cmd/banyanquay/main.go
@@ -20,7 +20,7 @@
 
 // config gives the tool its surroundings.
 func config(stdout, stderr io.Writer) commander.Config {
-	return commander.Config{Stdout: stdout, Stderr: stderr, CheckSettings: checkSettings}
+	return commander.Config{Stdin: os.Stdin, Stdout: stdout, Stderr: stderr, CheckSettings: checkSettings}
 }
 
 // checkSettings returns every fault of a daemon's settings.
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -35,6 +35,8 @@
 // Config gives a commander its surroundings.
 type Config struct {
 	Stdout io.Writer
+	// Stdin gives the log lines of explain --request.
+	Stdin  io.Reader
 	Stderr io.Writer
 	// HTTP performs the requests; nil means a client of its own.
 	HTTP *http.Client
--- a/internal/commander/explain.go
+++ b/internal/commander/explain.go
@@ -11,11 +11,12 @@
 
 // explainVerb explains numbers.
 type explainVerb struct {
-	Code string `arg:"positional,required" placeholder:"CODE" help:"a result code's number or name, or a log event's number or message"`
+	Code    string `arg:"positional" placeholder:"CODE" help:"a result code's number or name, or a log event's number or message"`
+	Request string `arg:"--request" placeholder:"ID" help:"tell a request's story from log lines on standard input"`
 }
 
 func (*explainVerb) examples() string {
-	return "  banyanquay explain 6001\n  banyanquay explain conflict\n  banyanquay explain 400\n"
+	return "  banyanquay explain 6001\n  banyanquay explain conflict\n  banyanquay explain 400\n  banyanquay explain --request 62f1c0de5a7b9910 <node.log\n"
 }
 
 // explained is the JSON output of explain.
@@ -30,6 +31,9 @@
 }
 
 func (v *explainVerb) run(_ context.Context, s session) error {
+	if v.Request != "" {
+		return tell(s, v.Request)
+	}
 	out, ok := explain(v.Code)
 	if !ok {
 		return &usageError{fmt.Sprintf("%q is no result code or log event; docs/CODES.md and docs/EVENTS.md list them", v.Code)}
--- a/internal/counter/latency.go
+++ b/internal/counter/latency.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"expvar"
+	"reflect"
 	"sync"
 	"time"
 
@@ -62,15 +63,15 @@
 
 // Latencies are the histograms of a node before relaying endpoints.
 type Latencies struct {
-	// Answers is the time from a request's arrival to the end of its answer,
-	// FirstEvents to the answer's first byte.
-	Answers     *Histogram
-	FirstEvents *Histogram
+	// Answers is the time from a request's arrival to the end of its answer.
+	Answers *Histogram `expvar:"banyanquay.latency.answers"`
+	// FirstEvents is the time from a request's arrival to its answer's first byte.
+	FirstEvents *Histogram `expvar:"banyanquay.latency.first_events"`
 	// Pauses is the longest pause between two events of each stream.
-	Pauses *Histogram
+	Pauses *Histogram `expvar:"banyanquay.latency.pauses"`
 	// Recoveries is the time from the last event before a stream's path was
 	// changed to the first one after it.
-	Recoveries *Histogram
+	Recoveries *Histogram `expvar:"banyanquay.latency.recoveries"`
 }
 
 // NewLatencies returns empty histograms.
@@ -82,8 +83,8 @@
 
 // Publish names the histograms in expvar; call it once in a process.
 func (l *Latencies) Publish() {
-	expvar.Publish("banyanquay.latency.answers", l.Answers)
-	expvar.Publish("banyanquay.latency.first_events", l.FirstEvents)
-	expvar.Publish("banyanquay.latency.pauses", l.Pauses)
-	expvar.Publish("banyanquay.latency.recoveries", l.Recoveries)
+	v := reflect.ValueOf(*l)
+	for i := range v.NumField() {
+		expvar.Publish(v.Type().Field(i).Tag.Get("expvar"), v.Field(i).Interface().(*Histogram))
+	}
 }
--- a/internal/documenter/documenter_test.go
+++ b/internal/documenter/documenter_test.go
@@ -27,11 +27,15 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	latencies, err := Fields("../counter/latency.go", "Latencies", "expvar", counter.Latencies{})
+	if err != nil {
+		t.Fatal(err)
+	}
 	pages := map[string]string{
 		"CODES.md":    Codes(),
 		"EVENTS.md":   Events(),
 		"SETTINGS.md": settings,
-		"METRICS.md":  metrics,
+		"METRICS.md":  metrics + "\nQuantiles in milliseconds, of nodes with `relay.enabled`:\n\n" + latencies,
 	}
 	for name, want := range pages {
 		t.Run(name, func(t *testing.T) {
--- a/internal/supervisor/forwarder/answer.go
+++ b/internal/supervisor/forwarder/answer.go
@@ -37,6 +37,16 @@
 	_, _ = c.w.Write(body)
 }
 
+// left is the refusal of a request whose caller has gone. Nobody reads it, but
+// those on call.
+func (c *call) left() refuser.Refusal {
+	r := refuser.New(refuser.CallerLeft, "the caller closed its connection")
+	if c.sends > 0 {
+		return r.WithRan(refuser.Maybe)
+	}
+	return r
+}
+
 // status returns the status of a refusal. One that promises that the request
 // did not run may be sent only if that is so.
 func status(r refuser.Refusal) int {
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -67,7 +67,7 @@
 		}
 		last = err
 		if c.r.Context().Err() != nil {
-			f.refuse(c, refuser.New(refuser.CallerLeft, "the caller closed its connection"))
+			f.refuse(c, c.left())
 			return
 		}
 		if !f.resumes(c, s, err) {
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -31,7 +31,7 @@
 	askAfter = 150 * time.Millisecond
 	// lookedOften is after how many looks the engines are asked however short
 	// the silence: a path that is always late has a slow engine.
-	lookedOften = 4
+	lookedOften = 3
 	// moveAfter is the silence after which a stream is moved though no engine
 	// is known to be at fault.
 	moveAfter = 900 * time.Millisecond
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -205,7 +205,7 @@
 // finish answers the caller.
 func (f *Forwarder) finish(c *call, o outcome, at registrar.Entry) {
 	if c.r.Context().Err() != nil {
-		f.refuse(c, refuser.New(refuser.CallerLeft, "the caller closed its connection"))
+		f.refuse(c, c.left())
 		return
 	}
 	if o.valid() && !o.never && c.sends > 0 && showable(o.reply) {
