End streams at their route's time, and never repeat one that may not resume

Causes, found in a read of the code and by a test that hung: - a generation had no limit of its own: one that stalled beyond all help was held until its caller left; - a stream that may not be resumed was begun anew if it stalled before its first event, though an engine may have begun it; - a path was chosen before a repeat was waited for, so that an endpoint could have left meanwhile. Engines that hold whole models get streams too. A key that is not confirmed names no organisation on anonymous routes.

--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -67,11 +67,16 @@
 	return slices.DeleteFunc(entries, func(e registrar.Entry) bool { return e.Born < born[e.Address] })
 }
 
+// layered tells whether the service's engines hold parts of a model.
+func (m *members) layered() bool {
+	return m.service.Engine != nil && m.service.Engine.Layers > 0
+}
+
 // add adds an endpoint.
 func (m *members) add(e registrar.Entry) {
 	m.entries = append(m.entries, e)
 	engine := m.service.Engine
-	if engine == nil || engine.Layers == 0 || !e.Holds() {
+	if !m.layered() || !e.Holds() {
 		return
 	}
 	kind, _ := engine.Accelerator(e.Accelerator)
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -157,7 +157,7 @@
 		return
 	}
 	f.cfg.Budget.Request(c.service)
-	if c.members.service.Engine != nil && c.members.service.Engine.Layers > 0 {
+	if c.route.Kind == mapper.Streaming || c.members.layered() {
 		f.generate(c)
 		return
 	}
@@ -194,7 +194,7 @@
 			return refuser.New(refuser.UnknownKey, "the key is not in configuration %d", c.version)
 		}
 		c.organisation = o
-	} else if o, ok := cfg.Organisation(c.Key); ok {
+	} else if o, ok := cfg.Organisation(c.Key); ok && f.cfg.Now().Sub(view.Confirmed) <= f.cfg.KeyAge() {
 		c.organisation = o
 	}
 	c.service = route.Service(xxhash.Sum64String(c.ID))
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -42,6 +42,7 @@
 var (
 	errStalled = trace.ConnectionProblem(nil, "no progress")
 	errEnded   = trace.ConnectionProblem(nil, "the attempt ended")
+	errLate    = trace.LimitExceeded("the request's time is over")
 )
 
 // generate runs a generation along a path of engines, and on along others when
@@ -51,15 +52,15 @@
 	defer f.monitor.end(s)
 	var last error
 	for {
+		if c.sends > 0 && !f.repeat(c) {
+			f.refuse(c, f.broken(c, refuser.New(refuser.RetryBudgetSpent, "no repeat left").WithWait(spentWait()), last))
+			return
+		}
 		path, err := f.path(c, s.version)
 		if err != nil {
 			f.refuse(c, f.broken(c, err, last))
 			return
 		}
-		if c.sends > 0 && !f.repeat(c) {
-			f.refuse(c, f.broken(c, refuser.New(refuser.RetryBudgetSpent, "no repeat left").WithWait(spentWait()), last))
-			return
-		}
 		whole, err := f.attempt(c, s, path)
 		if whole {
 			f.finished(c, s)
@@ -147,6 +148,11 @@
 func (f *Forwarder) attempt(c *call, s *session, path []pather.Part) (whole bool, err error) {
 	ctx, cancel := context.WithCancelCause(c.r.Context())
 	defer cancel(errEnded)
+	if left, limited := c.remaining(f.cfg.Now(), c.route.Timeout); limited {
+		limit, stop := context.WithTimeoutCause(ctx, left, errLate)
+		defer stop()
+		ctx = limit
+	}
 	s.start(path, cancel)
 	defer s.stop()
 	began := f.cfg.Now()
@@ -204,7 +210,7 @@
 	if !errors.As(err, &unsent) {
 		f.count(c, s, first.Address)
 	}
-	if !errors.Is(cause, errStalled) {
+	if !errors.Is(cause, errStalled) && !errors.Is(cause, errLate) {
 		// A stall has been put down to the endpoint at fault already.
 		f.doubt(first.ID, first.Address, doubtTime, "failed")
 		f.assessor.Failed(first.ID)
--- a/internal/supervisor/forwarder/generate_test.go
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"banyanquay/internal/driver"
+	"banyanquay/internal/mapper"
 	"banyanquay/internal/registrar"
 	"banyanquay/internal/standin/emulator"
 )
@@ -319,3 +320,63 @@
 		}
 	})
 }
+
+// The pattern: a stream that may not be resumed stalls before its first event. An
+// engine may have begun it, so that nobody else is given it.
+func TestStreamThatMayNotResumeIsSentOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, entries := engines(centres())
+		e := emulator.New(emulator.Defaults(), all)
+		w := newWorld(t, e.Relay(), entries...)
+		list := routes()
+		list[0].Resumable = false
+		w.view.Configuration = mapper.New(mapper.Draft{Version: 2, Routes: list, Services: w.view.Configuration.Services()})
+		e.Kill("a0:1", true)
+		e.Kill("b0:1", true)
+		e.Kill("c3:1", true)
+		began := time.Now()
+		answers := w.run(t, 1, func() {})
+		if sends, _ := e.Counts(); sends > 1 {
+			t.Errorf("got %d sends, want at most one", sends)
+		}
+		if got, want := answers[0].Code, http.StatusGatewayTimeout; got != want {
+			t.Errorf("status: got %d, want %d", got, want)
+		}
+		if got, want := time.Since(began), 4*time.Second+500*time.Millisecond; got > want {
+			t.Errorf("answered after %v, want by the caller's deadline of 4 s", got)
+		}
+	})
+}
+
+// Engines that hold whole models get no path, and their streams move like others.
+func TestStreamsOfWholeEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sent []driver.Forward
+		bodies := []string{"id: 1\ndata: x\n\nid: 2\nda", "id: 2\ndata: y\n\n"}
+		w := newWorld(t, driver.Relay{
+			Knock: alive,
+			Send: func(_ context.Context, _ string, f driver.Forward) (driver.Reply, error) {
+				sent = append(sent, f)
+				body := bodies[min(len(sent), len(bodies))-1]
+				return driver.Reply{Status: 200, Signed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader(body))}, nil
+			},
+		}, registrar.Entry{ID: "w1", Service: "whole", Address: "w1:1", Centre: "a"},
+			registrar.Entry{ID: "w2", Service: "whole", Address: "w2:1", Centre: "a"})
+		w.view.Configuration = mapper.New(mapper.Draft{
+			Version: 2, Services: []mapper.Service{{Name: "whole", Engine: &mapper.Engine{}}},
+			Routes: []mapper.Route{{
+				Host: host, Prefix: pathLLM, Kind: mapper.Streaming, Resumable: true, Attempts: 2,
+				Offers: []mapper.Offer{{Service: "whole", Weight: 1}},
+			}},
+		})
+		a := w.ask(t.Context(), "POST", pathLLM+"1", "r1", "800,200")
+		if got, want := a.Body.String(), "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"; got != want {
+			t.Errorf("got %q, want %q", got, want)
+		}
+		for _, f := range sent {
+			if len(f.Path) > 0 {
+				t.Errorf("an engine with a whole model got path %v", f.Path)
+			}
+		}
+	})
+}
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -301,8 +301,8 @@
 // mayBegin tells whether a stream may begin anew elsewhere, by its route and by
 // the budget of repeats.
 func (f *Forwarder) mayBegin(c *call, state snapshot) bool {
-	if state.events > 0 && !c.route.Resumable {
-		return false
+	if !c.route.Resumable {
+		return false // an engine may have begun it
 	}
 	// The attempt in progress counts unless its first engine has ended.
 	runs := state.runs + 1
@@ -324,7 +324,7 @@
 		slowest = max(slowest, m.f.assessor.Record(p.ID).Slowness(now))
 	}
 	members, ok := m.f.members(s.c.service)
-	if !ok || len(members.versions) == 0 {
+	if !ok || !members.layered() || len(members.versions) == 0 {
 		return false
 	}
 	path, ok := m.f.find(choice{members: members, version: members.versions[0], need: s.c.need, careful: true, moving: true})
@@ -341,7 +341,7 @@
 // detour returns another path with the same first part.
 func (m *monitor) detour(s *session, state snapshot, bad []string) ([]pather.Part, bool) {
 	members, ok := m.f.members(s.c.service)
-	if !ok {
+	if !ok || !members.layered() {
 		return nil, false
 	}
 	head := state.first()
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -120,6 +120,9 @@
 func (f *Forwarder) path(c *call, version string) ([]pather.Part, error) {
 	// Endpoints may have left since the request came.
 	members, ok := f.members(c.service)
+	if ok && !members.layered() {
+		return f.whole(c)
+	}
 	if !ok || len(members.versions) == 0 {
 		return nil, refuser.New(refuser.NoPipeline, "no engine of %s holds layers", c.service).WithWait(comeBack)
 	}
@@ -138,8 +141,22 @@
 		"no cover of the layers of %s by %d engines", c.service, len(members.holders)).WithWait(comeBack)
 }
 
-// wire returns a path as an endpoint gets it.
+// whole returns the path of one engine of a service whose engines hold whole
+// models.
+func (f *Forwarder) whole(c *call) ([]pather.Part, error) {
+	e, ok := f.choose(c)
+	if !ok {
+		return nil, refuser.New(refuser.NoEndpoint, "no engine of %s is left", c.service).WithWait(comeBack)
+	}
+	return []pather.Part{{ID: e.ID, Address: e.Address, Centre: e.Centre}}, nil
+}
+
+// wire returns a path as an endpoint gets it; an engine with a whole model gets
+// none.
 func wire(path []pather.Part) []driver.Part {
+	if len(path) == 1 && path[0].Last == 0 {
+		return nil
+	}
 	parts := make([]driver.Part, 0, len(path))
 	for _, p := range path {
 		parts = append(parts, driver.Part{Address: p.Address, First: p.First, Last: p.Last})
