Earn the retry budget's slack anew after a start

Also: what others leave is shared only where all nodes have told what they spent, and a generation without an event is sent at most three times.

--- a/internal/supervisor/forwarder/budgeter/budgeter.go
+++ b/internal/supervisor/forwarder/budgeter/budgeter.go
@@ -39,6 +39,8 @@
 	// Others returns what the other nodes have sent in the last window, as far
 	// as they have told, and how many have.
 	Others func(service string) (spent Spent, nodes int)
+	// Started is when this process began; zero means now.
+	Started time.Time
 	// Now is the clock.
 	Now func() time.Time
 }
@@ -63,6 +65,9 @@
 
 // New returns a budgeter.
 func New(cfg Config) *Budgeter {
+	if cfg.Started.IsZero() {
+		cfg.Started = cfg.Now()
+	}
 	return &Budgeter{cfg: cfg, services: make(map[string]*counts)}
 }
 
@@ -100,16 +105,21 @@
 	}
 	c.renewed = now
 	ratio, slack := b.cfg.Limits()
+	// What an earlier process of this node has spent is not known: the slack is
+	// earned over the first window.
+	slack *= min(float64(now.Sub(b.cfg.Started))/float64(b.cfg.Window), 1)
 	nodes := max(b.cfg.Nodes(), 1)
 	own := c.sum()
 	others, told := b.cfg.Others(service)
-	silent := max(nodes-1-told, 0)
-	left := margin*(ratio*float64(own.Requests+others.Requests)+slack) - float64(own.Repeats+others.Repeats)
-	if silent > 0 {
-		// What silent nodes have spent is not known: their parts are theirs.
-		left -= margin * slack * float64(silent) / float64(nodes)
+	if told < nodes-1 {
+		// What the others leave is shared only where all know of it: two nodes that
+		// know different ones would both spend the same part.
+		left := margin*(ratio*float64(own.Requests)+slack/float64(nodes)) - float64(own.Repeats)
+		c.allowed = max(left, 0)
+		return
 	}
-	c.allowed = max(left, 0) / float64(told+1)
+	left := margin*(ratio*float64(own.Requests+others.Requests)+slack) - float64(own.Repeats+others.Repeats)
+	c.allowed = max(left, 0) / float64(nodes)
 }
 
 // Request counts a request for a service.
--- a/internal/supervisor/forwarder/budgeter/budgeter_test.go
+++ b/internal/supervisor/forwarder/budgeter/budgeter_test.go
@@ -15,26 +15,35 @@
 func newCluster(n int, ratio, slack float64) *cluster {
 	c := &cluster{now: time.Unix(1000, 0), told: make([]Spent, n)}
 	for i := range n {
-		c.nodes = append(c.nodes, New(Config{
-			Limits: func() (float64, float64) { return ratio, slack },
-			Window: 10 * time.Second,
-			Nodes:  func() int { return n },
-			Others: func(string) (Spent, int) {
-				var sum Spent
-				for j, s := range c.told {
-					if j != i {
-						sum.Requests += s.Requests
-						sum.Repeats += s.Repeats
-					}
-				}
-				return sum, n - 1
-			},
-			Now: func() time.Time { return c.now },
-		}))
+		c.nodes = append(c.nodes, c.start(i, n, ratio, slack))
 	}
+	c.now = c.now.Add(window)
 	return c
 }
 
+// window is that of the tests' budgets.
+const window = 10 * time.Second
+
+// start returns a node that starts now.
+func (c *cluster) start(i, n int, ratio, slack float64) *Budgeter {
+	return New(Config{
+		Limits: func() (float64, float64) { return ratio, slack },
+		Window: window,
+		Nodes:  func() int { return n },
+		Others: func(string) (Spent, int) {
+			var sum Spent
+			for j, s := range c.told {
+				if j != i {
+					sum.Requests += s.Requests
+					sum.Repeats += s.Repeats
+				}
+			}
+			return sum, n - 1
+		},
+		Now: func() time.Time { return c.now },
+	})
+}
+
 // tell lets all nodes know what all have spent.
 func (c *cluster) tell() {
 	for i, b := range c.nodes {
@@ -87,6 +96,7 @@
 		Others: func(string) (Spent, int) { return Spent{}, 0 },
 		Now:    func() time.Time { return now },
 	})
+	now = now.Add(window)
 	granted := 0
 	for range 40 {
 		for b.Repeat("s") {
@@ -98,3 +108,74 @@
 		t.Errorf("repeats in two windows beside silent nodes: got %d, want at most %d", got, want)
 	}
 }
+
+// The pattern: many nodes, each of which hears of a few others, and an overload
+// that makes all of them repeat.
+func TestNodesThatKnowFewOthersNeverOverspend(t *testing.T) {
+	const nodes, known = 71, 8
+	now := time.Unix(1000, 0)
+	spent := make([]Spent, nodes)
+	all := make([]*Budgeter, nodes)
+	for i := range nodes {
+		all[i] = New(Config{
+			Limits: func() (float64, float64) { return 0.2, 326 }, Window: 10 * time.Second,
+			Nodes: func() int { return nodes },
+			Others: func(string) (Spent, int) {
+				var sum Spent
+				for d := 1; d <= known; d++ {
+					s := spent[(i+d*(i%5+1))%nodes]
+					sum.Requests += s.Requests
+					sum.Repeats += s.Repeats
+				}
+				return sum, known
+			},
+			Now: func() time.Time { return now },
+		})
+	}
+	now = now.Add(window)
+	for range 16 {
+		total := Spent{}
+		for i, b := range all {
+			for range 2 {
+				b.Request("s")
+			}
+			for b.Repeat("s") {
+			}
+			spent[i] = b.Spent()["s"]
+			total.Requests += spent[i].Requests
+			total.Repeats += spent[i].Repeats
+		}
+		if got, want := float64(total.Repeats), 0.2*float64(total.Requests)+326; got > want {
+			t.Fatalf("repeats for %d requests: got %v, want at most %v", total.Requests, got, want)
+		}
+		now = now.Add(interval)
+	}
+}
+
+// The pattern: all nodes lose power, and start again within the window.
+func TestRestartedNodesDoNotSpendAgain(t *testing.T) {
+	c := newCluster(7, 0.2, 198)
+	total := 0
+	for _, b := range c.nodes {
+		for b.Repeat("s") {
+			total++
+		}
+	}
+	c.now = c.now.Add(time.Second)
+	c.told = make([]Spent, 7)
+	for i := range c.nodes {
+		c.nodes[i] = c.start(i, 7, 0.2, 198)
+	}
+	for range 5 {
+		for _, b := range c.nodes {
+			for b.Repeat("s") {
+				total++
+			}
+		}
+		c.tell()
+		c.now = c.now.Add(interval)
+	}
+	if got, want := total, 198; got > want {
+		t.Errorf("repeats in the window around the restart: got %d, want at most %d", got, want)
+	}
+}
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -24,8 +24,10 @@
 	// streamBuffer is the read buffer of a stream; an event has some hundred
 	// bytes.
 	streamBuffer = 4 << 10
-	// maxAttempts bounds how often one generation is sent, refusals included.
+	// maxAttempts bounds how often one generation is sent, refusals included, and
+	// maxBegins how often one that has no event yet is.
 	maxAttempts = 6
+	maxBegins   = 3
 	// doubtTime is how long an endpoint is avoided after it failed work.
 	doubtTime = 2 * time.Second
 	// fullTime is how long an engine that had no room is avoided.
@@ -105,7 +107,7 @@
 	if limited && left < leastLeft {
 		return false
 	}
-	if c.sends >= maxAttempts {
+	if c.sends >= maxAttempts || (!c.answered && c.sends >= maxBegins) {
 		return false
 	}
 	var unsent *driver.Unsent
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -95,7 +95,7 @@
 			Limits: func() (float64, float64) { return 0.2, w.slack }, Window: 10 * time.Second,
 			Nodes:  func() int { return 1 },
 			Others: func(string) (budgeter.Spent, int) { return budgeter.Spent{}, 0 },
-			Now:    time.Now,
+			Now:    time.Now, Started: time.Now().Add(-time.Minute),
 		}),
 		Centre: "a", KeyAge: func() time.Duration { return 4800 * time.Millisecond },
 		Nodes: func() int { return 1 }, Near: func() int { return 1 },
