Keep paths in their data centre where choices are spread

Nodes also stop reading the store for themselves 1.2 s after their start in place of 3 s; links are up after 0.5 s.

--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -16,8 +16,10 @@
 const (
 	// hopCost is a message between two engines of one data centre.
 	hopCost = 0.3
-	// awayCost is for a path in another data centre: the events cross once.
-	awayCost = 2
+	// awayCost is for a path in another data centre: the events cross once. Where
+	// choices are spread, awayBlind more keeps them in the own one.
+	awayCost  = 2
+	awayBlind = 25
 	// crossingCost is for each crossing within a path: the activations of every
 	// token cross over a pipe that all paths share, so it is taken only where
 	// no data centre has a whole path.
@@ -61,12 +63,14 @@
 // find returns the best path for a choice.
 func (f *Forwarder) find(ch choice) ([]pather.Part, bool) {
 	engine := ch.members.service.Engine
+	unseen := f.unseen()
 	req := pather.Request{
-		Layers: engine.Layers, Centre: f.cfg.Centre, Away: awayCost, Crossing: crossingCost, Head: ch.head,
+		Layers: engine.Layers, Centre: f.cfg.Centre, Away: awayCost + awayBlind*unseen,
+		Crossing: crossingCost + awayBlind*unseen, Head: ch.head,
 	}
 	now := f.cfg.Now()
 	centres := make(map[string]float64)
-	spread := blind * f.unseen() * ch.members.usual
+	spread := blind * unseen * ch.members.usual
 	for _, h := range ch.members.holders {
 		if h.entry.Version != ch.version || ch.exclude[h.entry.ID] {
 			continue
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -57,7 +57,7 @@
 	// refusal has a code.
 	frontendHeaderBytes = 128 << 10
 	// acquaintance is how long nodes take to know each other after their start.
-	acquaintance = 3 * time.Second
+	acquaintance = 1200 * time.Millisecond
 	// otherReaders is of how many other data centres the reading nodes are asked
 	// while the own one's doesn't answer.
 	otherReaders = 2
