--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -124,3 +124,13 @@
 	f.monitor.reports.keep(known)
 	return next
 }
+
+// members returns a service's endpoints as known now.
+func (f *Forwarder) members(service string) (*members, bool) {
+	cfg := f.cfg.View().Configuration
+	if cfg == nil {
+		return nil, false
+	}
+	m, ok := f.fleet(cfg).services[service]
+	return m, ok
+}
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -150,19 +150,37 @@
 	o.failures = 0
 }
 
-// followConfiguration keeps the view.
-func (s *Syncer) followConfiguration(ctx context.Context) error {
-	o := outage{recorder: s.cfg.Recorder, what: "configuration", now: s.cfg.Now}
+// feed is a topic that this node follows.
+type feed struct {
+	what  string
+	topic string
+	// wait is how long a read waits for a record, and every the pause between two
+	// reads.
+	wait  time.Duration
+	every time.Duration
+	// known is as of when the topic is known, and limit the age from which on it is
+	// read by nodes that are usually told.
+	known func() time.Time
+	limit time.Duration
+	// apply takes in what was read: the newest records if whole is set, else those
+	// since. Entries that vanish stay until keepUntil.
+	apply func(items provider.Items, whole bool, asked, keepUntil time.Time)
+}
+
+// follow reads a topic until ctx ends: its newest records, and those that come
+// after them.
+func (s *Syncer) follow(ctx context.Context, f feed) error {
+	o := outage{recorder: s.cfg.Recorder, what: f.what, now: s.cfg.Now}
 	known := false
 	var from provider.Offset
 	for ctx.Err() == nil {
-		if !s.reads(s.View().Confirmed, configurationAge) {
+		if !s.reads(f.known(), f.limit) {
 			known = false
 			grouper.Sleep(ctx, roleInterval)
 			continue
 		}
 		asked := s.cfg.Now()
-		items, err := s.readConfiguration(ctx, known, from)
+		items, err := s.read(ctx, f, known, from)
 		switch {
 		case errors.Is(err, provider.ErrCompacted):
 			known = false
@@ -174,12 +192,40 @@
 			return nil
 		}
 		o.succeeded()
-		s.applyConfiguration(items, asked)
+		f.apply(items, !known, asked, o.returned.Add(lapseTime))
 		known, from = true, items.End
+		if !items.More && f.every > 0 {
+			grouper.Sleep(ctx, f.every)
+		}
 	}
 	return nil
 }
 
+// read reads the newest records, or waits for some after them.
+func (s *Syncer) read(ctx context.Context, f feed, known bool, from provider.Offset) (provider.Items, error) {
+	if !known {
+		return s.cfg.Topics.Newest(ctx, f.topic)
+	}
+	return s.cfg.Topics.Follow(ctx, f.topic, from, f.wait)
+}
+
+// followConfiguration keeps the view.
+func (s *Syncer) followConfiguration(ctx context.Context) error {
+	return s.follow(ctx, feed{
+		what: "configuration", topic: s.cfg.ConfigTopic, wait: confirmWait,
+		known: func() time.Time { return s.View().Confirmed }, limit: configurationAge,
+		apply: func(items provider.Items, _ bool, asked, _ time.Time) { s.applyConfiguration(items, asked) },
+	})
+}
+
+// followEndpoints keeps the table.
+func (s *Syncer) followEndpoints(ctx context.Context) error {
+	return s.follow(ctx, feed{
+		what: "endpoints", topic: s.cfg.EndpointTopic, every: pollInterval,
+		known: s.tableTime, limit: tableAge, apply: s.applyEndpoints,
+	})
+}
+
 // reads tells whether this node reads the store itself: for others, or as nobody
 // has told it anything for too long.
 func (s *Syncer) reads(known time.Time, limit time.Duration) bool {
@@ -194,14 +240,6 @@
 	return time.Time{}
 }
 
-// readConfiguration reads the newest record, or waits for one after it.
-func (s *Syncer) readConfiguration(ctx context.Context, known bool, from provider.Offset) (provider.Items, error) {
-	if !known {
-		return s.cfg.Topics.Newest(ctx, s.cfg.ConfigTopic)
-	}
-	return s.cfg.Topics.Follow(ctx, s.cfg.ConfigTopic, from, confirmWait)
-}
-
 // applyConfiguration takes in records up to the end of the topic as of a
 // moment after asked. A lower version never replaces a higher one.
 func (s *Syncer) applyConfiguration(items provider.Items, asked time.Time) {
@@ -238,47 +276,6 @@
 	return view
 }
 
-// followEndpoints keeps the table.
-func (s *Syncer) followEndpoints(ctx context.Context) error {
-	o := outage{recorder: s.cfg.Recorder, what: "endpoints", now: s.cfg.Now}
-	known := false
-	var from provider.Offset
-	for ctx.Err() == nil {
-		if !s.reads(s.tableTime(), tableAge) {
-			known = false
-			grouper.Sleep(ctx, roleInterval)
-			continue
-		}
-		asked := s.cfg.Now()
-		items, err := s.readEndpoints(ctx, known, from)
-		switch {
-		case errors.Is(err, provider.ErrCompacted):
-			known = false
-			continue
-		case err != nil && ctx.Err() == nil:
-			grouper.Sleep(ctx, o.failed(err))
-			continue
-		case err != nil:
-			return nil
-		}
-		o.succeeded()
-		s.applyEndpoints(items, !known, asked, o.returned.Add(lapseTime))
-		known, from = true, items.End
-		if !items.More {
-			grouper.Sleep(ctx, pollInterval)
-		}
-	}
-	return nil
-}
-
-// readEndpoints reads all endpoints, or the records since.
-func (s *Syncer) readEndpoints(ctx context.Context, known bool, from provider.Offset) (provider.Items, error) {
-	if !known {
-		return s.cfg.Topics.Newest(ctx, s.cfg.EndpointTopic)
-	}
-	return s.cfg.Topics.Follow(ctx, s.cfg.EndpointTopic, from, 0)
-}
-
 // applyEndpoints takes in records, or the whole list if whole is set.
 func (s *Syncer) applyEndpoints(items provider.Items, whole bool, asked, keepUntil time.Time) {
 	s.mu.Lock()
