Pass a ready answer on though the next endpoint refuses

The line of a generation that its engine failed said 200. An answer of more than 16 MB is refused; it was held whole at any size.

--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -130,8 +130,10 @@
 	runs  int
 	// answered is set once the head of an answer has been written.
 	answered bool
-	// first is when the first event or the whole answer was written.
-	first time.Time
+	// status is that of the answer, and first when its first event or the whole of
+	// it was written.
+	status int
+	first  time.Time
 }
 
 // ServeHTTP answers a caller's request.
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -196,7 +196,7 @@
 func (f *Forwarder) finished(c *call, s *session) {
 	state := s.look()
 	f.cfg.Latency.Pauses.Record(state.longest)
-	f.done(c, http.StatusOK, state.first().ID,
+	f.done(c, c.status, state.first().ID,
 		zap.Int("events", state.events), zap.Int("moves", state.moves),
 		zap.Duration("pause", state.longest), zap.Duration("interval", state.interval))
 }
@@ -250,7 +250,7 @@
 // passFailure passes on an answer that is not a stream: the engine ran the
 // request and failed it.
 func (f *Forwarder) passFailure(c *call, s *session, reply driver.Reply) (bool, error) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferBytes))
+	body, err := io.ReadAll(io.LimitReader(reply.Body, answerBytes))
 	if err != nil || c.answered || !showable(reply) || reply.Status < http.StatusMultipleChoices {
 		f.assessor.Failed(s.look().first().ID)
 		f.count(c, s, s.look().first().Address)
@@ -259,7 +259,8 @@
 	c.copyHeader(reply)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	c.w.WriteHeader(reply.Status)
-	c.answered = true
+	c.answered, c.status, c.first = true, reply.Status, f.cfg.Now()
+	c.runs++
 	_, _ = c.w.Write(body)
 	return true, nil
 }
@@ -304,7 +305,6 @@
 func (c *call) begin(f *Forwarder, s *session, reply driver.Reply) {
 	c.copyHeader(reply)
 	c.w.WriteHeader(reply.Status)
-	c.answered = true
-	c.first = f.cfg.Now()
+	c.answered, c.status, c.first = true, reply.Status, f.cfg.Now()
 	s.version = reply.Version
 }
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"banyanquay/internal/driver"
@@ -19,9 +20,9 @@
 )
 
 const (
-	// bufferBytes is how much of an answer is held back until it is known to
-	// be whole; a longer one is passed on as it comes.
-	bufferBytes = 1 << 20
+	// answerBytes bounds an answer, which is held back until it is known to be
+	// whole: some fifteen at once fit a node's memory.
+	answerBytes = 16 << 20
 	// shareOfTarget is the part of a route's target that one try of a
 	// repeatable request may take while others are left.
 	shareOfTarget = 0.8
@@ -34,9 +35,8 @@
 // outcome is how one try ended.
 type outcome struct {
 	reply driver.Reply
-	// body is the whole answer, or its beginning if rest is set.
+	// body is the whole answer.
 	body []byte
-	rest bool
 	// err is set if there is no whole answer.
 	err error
 	// never tells that the endpoint did not and will not run the request.
@@ -54,11 +54,17 @@
 	return o.err == nil && (o.reply.Signed || o.reply.Status >= http.StatusMultipleChoices)
 }
 
+// deliverable tells whether the answer may be passed on.
+func (o outcome) deliverable() bool {
+	return o.valid() && !o.never && showable(o.reply)
+}
+
 // plain runs a request at an endpoint of a plain service, and at others while
 // it may be repeated.
 func (f *Forwarder) plain(c *call) {
-	var last outcome
-	var at registrar.Entry
+	// Of several answers the last that may be passed on is.
+	var last, kept outcome
+	var at, keptAt registrar.Entry
 	for {
 		e, ok := f.choose(c)
 		if !ok {
@@ -70,10 +76,16 @@
 		}
 		at = e
 		last = f.try(c, e)
+		if last.deliverable() {
+			kept, keptAt = last, at
+		}
 		if last.good() || !f.again(c, last) {
 			break
 		}
 	}
+	if c.sends > 0 && !last.deliverable() && kept.reply.Status != 0 {
+		last, at = kept, keptAt
+	}
 	f.finish(c, last, at)
 }
 
@@ -183,23 +195,19 @@
 	return max(left, time.Millisecond)
 }
 
-// exchange sends the request and reads the answer up to bufferBytes.
+// exchange sends the request and reads the whole answer.
 func (f *Forwarder) exchange(ctx context.Context, c *call, e registrar.Entry) outcome {
 	reply, err := f.cfg.Relay.Send(ctx, e.Address, f.forward(c, e.ID))
 	if err != nil {
 		var unsent *driver.Unsent
 		return outcome{err: err, never: errors.As(err, &unsent)}
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, bufferBytes))
-	o := outcome{reply: reply, body: body, err: err, never: reply.NotRun}
-	if err == nil && len(body) == bufferBytes {
-		o.rest = true
-		f.cfg.Counters.Requests.Add("long_answers", 1)
-		rest, err := io.ReadAll(reply.Body)
-		o.body, o.err = append(body, rest...), err
+	defer reply.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(reply.Body, answerBytes+1))
+	if err == nil && len(body) > answerBytes {
+		err = trace.LimitExceeded("an answer is over %d bytes", answerBytes)
 	}
-	reply.Body.Close()
-	return o
+	return outcome{reply: reply, body: body, err: err, never: reply.NotRun}
 }
 
 // finish answers the caller.
@@ -208,7 +216,7 @@
 		f.refuse(c, c.left())
 		return
 	}
-	if o.valid() && !o.never && c.sends > 0 && showable(o.reply) {
+	if c.sends > 0 && o.deliverable() {
 		c.copyHeader(o.reply)
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(o.body)))
 		c.w.WriteHeader(o.reply.Status)
--- a/internal/supervisor/forwarder/plain_test.go
+++ b/internal/supervisor/forwarder/plain_test.go
@@ -73,6 +73,7 @@
 		{"the service's own failure is passed on", "POST", pathPut, []script{own(500, "no")}, 500, 1, true},
 		{"an idempotent request is sent again after a failure", "GET", pathGet, []script{own(500, "no"), own(200, "ok")}, 200, 2, true},
 		{"but to no more endpoints than its route allows", "GET", pathGet, []script{own(500, "no"), own(500, "no"), own(200, "ok")}, 500, 2, true},
+		{"an answer that is ready is passed on though the next endpoint refuses", "GET", pathGet, []script{own(500, "no"), unsigned(503, true)}, 500, 2, true},
 		{"a non-idempotent request is sent once, however it ends", "POST", pathPut, []script{broken, own(200, "ok")}, 502, 1, false},
 		{"also if its answer is torn", "POST", pathPut, []script{torn, own(200, "ok")}, 502, 1, false},
 		{"a torn answer of an idempotent request is not shown", "GET", pathGet, []script{torn, own(200, "ok")}, 200, 2, true},
