Use the settings' seeds as candidates

A node that starts while the store turns it away now finds the others by them, and learns from them what the store doesn't tell.

--- a/internal/supervisor/announcer/announcer.go
+++ b/internal/supervisor/announcer/announcer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,7 +36,8 @@
 	// Address is the host:port of the node's links.
 	Address string
 	Centre  string
-	// Seeds are addresses that were given to the node.
+	// Seeds are addresses that were given to the node. They may be out of date,
+	// and are all that it knows while the store is away.
 	Seeds    []string
 	Now      func() time.Time
 	Recorder *recorder.Recorder
@@ -97,6 +99,10 @@
 		return known, nil
 	}
 	items, err := a.cfg.Topics.Newest(ctx, a.cfg.Topic)
+	if err != nil && reads == 0 && len(a.cfg.Seeds) > 0 {
+		a.cfg.Recorder.Warn(recorder.StoreUnreachable, zap.String("what", "nodes"), zap.Error(err))
+		return a.seeds(nil), nil
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -109,8 +115,19 @@
 		}
 		vms = append(vms, provider.VM{Address: it.Key, Role: provider.RoleNode, Centre: n.Centre})
 	}
+	vms = a.seeds(vms)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.known, a.read, a.reads = vms, a.cfg.Now(), a.reads+1
 	return vms, nil
 }
+
+// seeds adds the seeds that a list lacks; their data centres are learnt from them.
+func (a *Announcer) seeds(vms []provider.VM) []provider.VM {
+	for _, seed := range a.cfg.Seeds {
+		if !slices.ContainsFunc(vms, func(vm provider.VM) bool { return vm.Address == seed }) {
+			vms = append(vms, provider.VM{Address: seed, Role: provider.RoleNode})
+		}
+	}
+	return vms
+}
--- /dev/null
+++ b/internal/supervisor/announcer/announcer_test.go
@@ -0,0 +1,97 @@
+package announcer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"banyanquay/internal/provider"
+	"banyanquay/internal/recorder"
+)
+
+// topic is the announcements in memory.
+type topic struct {
+	items []provider.Item
+	down  bool
+	reads int
+}
+
+func (s *topic) topics() provider.Topics {
+	return provider.Topics{
+		Newest: func(context.Context, string) (provider.Items, error) {
+			s.reads++
+			if s.down {
+				return provider.Items{}, errors.New("down")
+			}
+			return provider.Items{Items: s.items}, nil
+		},
+		Append: func(_ context.Context, _, key string, value []byte) (provider.Offset, error) {
+			if s.down {
+				return 0, errors.New("down")
+			}
+			s.items = append(s.items, provider.Item{Key: key, Value: value})
+			return 0, nil
+		},
+	}
+}
+
+// announce returns an announcer that has announced itself.
+func announce(s *topic, address string, now func() time.Time, seeds ...string) *Announcer {
+	a := New(Config{
+		Topics: s.topics(), Topic: "nodes", Address: address, Centre: "a", Seeds: seeds, Now: now, Recorder: recorder.Nop(),
+	})
+	if !s.down {
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
+		defer cancel()
+		_ = a.Step().Run(ctx)
+	}
+	return a
+}
+
+func TestNodesFindEachOther(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &topic{}
+	a := announce(s, "10.0.0.1:1", func() time.Time { return now }, "10.0.0.9:1", "10.0.0.2:1")
+	announce(s, "10.0.0.2:1", func() time.Time { return now })
+	s.items = append(s.items, provider.Item{Key: "10.0.0.3:1", Value: []byte("foreign")})
+	vms, err := a.List().VMs(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []provider.VM{
+		{Address: "10.0.0.1:1", Role: provider.RoleNode, Centre: "a"},
+		{Address: "10.0.0.2:1", Role: provider.RoleNode, Centre: "a"},
+		{Address: "10.0.0.9:1", Role: provider.RoleNode},
+	}
+	if fmt.Sprint(vms) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", vms, want)
+	}
+}
+
+// The pattern: a node starts while the store turns it away.
+func TestSeedsStandInForTheStore(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &topic{down: true}
+	a := announce(s, "10.0.0.1:1", func() time.Time { return now }, "10.0.0.9:1")
+	vms, err := a.List().VMs(t.Context())
+	if err != nil || len(vms) != 1 || vms[0].Address != "10.0.0.9:1" {
+		t.Errorf("got %v, %v, want the seed", vms, err)
+	}
+}
+
+func TestListIsUsedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := &topic{}
+	a := announce(s, "10.0.0.1:1", func() time.Time { return now })
+	for range 100 {
+		if _, err := a.List().VMs(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		now = now.Add(time.Second)
+	}
+	if got, want := s.reads, 4; got > want {
+		t.Errorf("reads in 100 s: got %d, want at most %d", got, want)
+	}
+}
