--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -24,7 +24,7 @@
 	// configurationAge and tableAge are from when on other nodes are asked, and
 	// the store by nodes that don't read it otherwise: what is told in time is
 	// never that old.
-	configurationAge = 2*confirmWait + askInterval + 200*time.Millisecond
+	configurationAge = 2*confirmWait + askInterval + 400*time.Millisecond
 	tableAge         = pollInterval + askInterval + 250*time.Millisecond
 	// peerTimeout bounds a question to a node, and peersAsked how many are asked
 	// at once.
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -24,10 +24,10 @@
 )
 
 const (
-	// confirmWait bounds the wait of a read of the configuration. Two waits and
-	// the store's answer stay well within the time in which a key that was
-	// taken away must stop working.
-	confirmWait = 1500 * time.Millisecond
+	// confirmWait bounds the wait of a read of the configuration. Two waits and a
+	// node that asks take half of the time in which a key that was taken away must
+	// stop working; the other half is left to serve while the store is away.
+	confirmWait = 600 * time.Millisecond
 	// pollInterval is the time between two reads of the endpoints. With askInterval
 	// and a node that doesn't answer it stays within the time in which a leaving
 	// endpoint must get no more work.
