Use an endpoint with an open breaker where no other holds its layers

Cause: three failed steps in a row open an endpoint's breaker for half a second or more. If it alone held its layers, every request meanwhile was refused with 5001 no_pipeline. Not ruled out: a false word of other nodes that the engine is down. Change: the planner covers with open breakers what is left after doubted ones. Before: TestOpenBreakersComeLast fails with 5001; after: it passes, with the other tests of the dispatcher.

--- a/internal/supervisor/dispatcher/planner/cover_test.go
+++ b/internal/supervisor/dispatcher/planner/cover_test.go
@@ -90,3 +90,27 @@
 		}
 	}
 }
+
+// TestOpenBreakersComeLast checks that an endpoint whose circuit breaker is open
+// gets work only where no other holds its layers: a refusal would not reach the
+// layers sooner than the next step.
+func TestOpenBreakersComeLast(t *testing.T) {
+	holder := func(address string, first, last int) driver.Endpoint {
+		return driver.Endpoint{Address: address, Status: driver.Status{
+			StepMillis: 1, Holdings: []driver.Holding{{Model: "m", Version: "v", First: first, Last: last, Layers: 4}},
+		}}
+	}
+	for name, tt := range map[string]struct {
+		endpoints []driver.Endpoint
+		want      string
+	}{
+		"another serves": {[]driver.Endpoint{holder("open", 0, 2), holder("b", 0, 2), holder("c", 2, 4)}, "b c"},
+		"no other":       {[]driver.Endpoint{holder("open", 0, 2), holder("c", 2, 4)}, "open c"},
+	} {
+		load := func(address string) Load { return Load{Open: address == "open"} }
+		plan, err := New(Config{}).Choose(Request{Model: "m", Version: "v"}, tt.endpoints, load)
+		if err != nil || len(plan) != 2 || plan[0].Address+" "+plan[1].Address != tt.want {
+			t.Errorf("%s: got %v, %v, want %s", name, plan, err, tt.want)
+		}
+	}
+}
--- a/internal/supervisor/dispatcher/planner/planner.go
+++ b/internal/supervisor/dispatcher/planner/planner.go
@@ -97,10 +97,17 @@
 	RTT time.Duration
 	// Penalty multiplies the expected time by 1+Penalty.
 	Penalty float64
-	// Open is set while the circuit breaker lets no work through.
+	// Open is set while the circuit breaker is open: the endpoint gets work only
+	// if no other holds its layers.
 	Open bool
 }
 
+// withClosed returns the load as if the breaker were closed.
+func (l Load) withClosed() Load {
+	l.Open = false
+	return l
+}
+
 // Config tunes a planner. Zero fields take their defaults.
 type Config struct {
 	Policy Policy
@@ -214,15 +221,24 @@
 }
 
 // cover returns a cover of want. Endpoints that only this node doubts are used
-// where the others don't cover it.
+// where the others don't cover it, and those whose breaker is open last.
 func (p *Planner) cover(
 	req Request, want span, layers int, endpoints []driver.Endpoint, loads func(address string) Load,
 ) (Plan, error) {
 	plan, err := p.coverBy(driver.Endpoint.Serving, req, want, layers, endpoints, loads)
-	if err == nil || !slices.ContainsFunc(endpoints, func(e driver.Endpoint) bool { return e.Doubted }) {
-		return plan, err
+	if err == nil {
+		return plan, nil
+	}
+	if slices.ContainsFunc(endpoints, func(e driver.Endpoint) bool { return e.Doubted }) {
+		if plan, err = p.coverBy(driver.Endpoint.Usable, req, want, layers, endpoints, loads); err == nil {
+			return plan, nil
+		}
+	}
+	if !slices.ContainsFunc(endpoints, func(e driver.Endpoint) bool { return loads(e.Address).Open }) {
+		return nil, err
 	}
-	return p.coverBy(driver.Endpoint.Usable, req, want, layers, endpoints, loads)
+	closed := func(address string) Load { return loads(address).withClosed() }
+	return p.coverBy(driver.Endpoint.Usable, req, want, layers, endpoints, closed)
 }
 
 // coverBy returns a cover of want by the endpoints that may be used.
