Ask a store that is away less often, and tell nodes only what is fresher

Found in logs: each of 71 nodes called the store at its own backoff of 0.7 s while it was away; each start read both topics for 1.2 s; a node asked another one at random sent its whole table, however old. Change: a starting node reads each topic once; nodes that are usually told wait 0.35 s more for other nodes and then call every 2.5 to 5 s; a question has the age of the asking node's table, and an answer has entries only if they are fresher. Before and after, TestOutageCostsFewCalls: 1095 calls in 12 s, at most 252 wanted, and 6368 bytes an answer, at most 200 wanted; passes now, as TestStartReadsTheStoreOnce does (3 calls, 2 wanted).

--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -152,7 +152,7 @@
 	r.syncer = syncer.New(syncer.Config{
 		Topics: p.Topics, ConfigTopic: p.ConfigTopic, ConfigKey: p.ConfigKey, EndpointTopic: p.EndpointTopic,
 		Configuration: p.Configuration, Entry: p.Entry, Now: r.clock.Now,
-		Reads: r.reads, Readers: r.readers, Peers: r.peers,
+		Starting: r.starting, Reads: r.reads, Readers: r.readers, Peers: r.peers,
 		Ask: func(ctx context.Context, address string, question []byte) ([]byte, error) {
 			return r.linker.Ask(ctx, address, linker.Store, question)
 		},
@@ -292,12 +292,14 @@
 	return live
 }
 
+// starting tells whether this node may not know the others yet.
+func (r *relay) starting() bool {
+	return r.clock.Now().Sub(r.started) < acquaintance
+}
+
 // reads tells whether this node reads the store for the others of its data
-// centre. All do until they know each other.
+// centre.
 func (r *relay) reads() bool {
-	if r.clock.Now().Sub(r.started) < acquaintance {
-		return true
-	}
 	first := r.readersOf(r.cfg.Settings.Centre)
 	return len(first) == 0 || first[0] == r.cfg.Settings.Address
 }
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -42,6 +42,9 @@
 	// Source and Since are of the last answer whose table was taken in.
 	Source string
 	Since  uint64
+	// ListedMillis is the age of the asking node's table; under 0 if it has none.
+	// It is told of a table only if that is fresher by some.
+	ListedMillis int64
 }
 
 // knowledge is what a node knows of the store. Ages are as of the answer, so
@@ -52,7 +55,8 @@
 	// was asked with; empty if there is none.
 	Configuration []byte
 	// ConfirmedMillis is the age of the configuration's confirmation, and
-	// ListedMillis that of the table; under 0 if there is none.
+	// ListedMillis that of the table; under 0 if there is none, or none that is
+	// fresher than the asking node's.
 	ConfirmedMillis int64
 	ListedMillis    int64
 	// Entries and Gone are what changed in the table since the question's number,
@@ -75,8 +79,16 @@
 	s.mu.Lock()
 	view, raw := s.View(), *s.raw.Load()
 	table, listed := s.Table(), s.listed.Load()
-	k.Entries, k.Gone, k.Whole = s.history.since(table, q.Source, q.Since)
-	k.Source, k.At = s.history.source, s.history.at
+	if listed != nil {
+		k.ListedMillis = s.cfg.Now().Sub(*listed).Milliseconds() + 1
+	}
+	if q.ListedMillis >= 0 && k.ListedMillis+worth.Milliseconds() > q.ListedMillis {
+		k.ListedMillis = -1
+	}
+	if k.ListedMillis >= 0 {
+		k.Entries, k.Gone, k.Whole = s.history.since(table, q.Source, q.Since)
+		k.Source, k.At = s.history.source, s.history.at
+	}
 	s.mu.Unlock()
 	if view.Configuration != nil && !view.Confirmed.IsZero() {
 		k.ConfirmedMillis = s.cfg.Now().Sub(view.Confirmed).Milliseconds() + 1
@@ -84,9 +96,6 @@
 			k.Configuration = raw
 		}
 	}
-	if listed != nil {
-		k.ListedMillis = s.cfg.Now().Sub(*listed).Milliseconds() + 1
-	}
 	return encoder.CBOR(k)
 }
 
@@ -141,12 +150,15 @@
 func (s *Syncer) askPeer(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	var q question
+	q := question{ListedMillis: -1}
 	if cfg := s.View().Configuration; cfg != nil {
 		q.Version = cfg.Version()
 	}
 	s.mu.Lock()
 	q.Source, q.Since = s.source, s.since
+	if listed := s.listed.Load(); listed != nil {
+		q.ListedMillis = s.cfg.Now().Sub(*listed).Milliseconds()
+	}
 	s.mu.Unlock()
 	body, err := encoder.CBOR(q)
 	if err != nil {
--- a/internal/supervisor/syncer/readers_test.go
+++ b/internal/supervisor/syncer/readers_test.go
@@ -1,8 +1,10 @@
 package syncer
 
 import (
+	"context"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -72,6 +74,92 @@
 	})
 }
 
+// The pattern: the store is away for all while many nodes run. One in each data
+// centre keeps asking it; the others hear from that one that it is back.
+func TestOutageCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes = 24
+		st := newStore()
+		peers := map[string]*Syncer{}
+		st.put(configTopic, configKey, "1")
+		for n := range 100 {
+			st.put(endpointTopic, fmt.Sprint("e", n), "up")
+		}
+		var bytes, answers atomic.Int64
+		reader := newSyncer(st, peers)
+		peers["reader"] = reader
+		others := make([]*Syncer, 0, nodes-1)
+		for n := range nodes - 1 {
+			s := newSyncer(st, peers)
+			s.cfg.Reads = func() bool { return false }
+			s.cfg.Readers = func() []string { return []string{"reader"} }
+			ask := s.cfg.Ask
+			s.cfg.Ask = func(ctx context.Context, address string, question []byte) ([]byte, error) {
+				body, err := ask(ctx, address, question)
+				bytes.Add(int64(len(body)))
+				answers.Add(1)
+				return body, err
+			}
+			peers[fmt.Sprint(n)] = s
+			others = append(others, s)
+		}
+		start(t, reader)
+		for _, s := range others {
+			start(t, s)
+		}
+		time.Sleep(3 * time.Second)
+		const outage = 12 * time.Second
+		st.set(func() { st.down, st.calls = true, 0 })
+		bytes.Store(0)
+		answers.Store(0)
+		time.Sleep(outage)
+		st.mu.Lock()
+		calls := st.calls
+		st.mu.Unlock()
+		// Two topics: the reader's calls at half of its longest wait, and a call of
+		// each other node in three seconds.
+		want := 2 * (int(outage/(lastWait/2)) + (nodes-1)*int(outage/(3*time.Second)))
+		if got := calls; got > want {
+			t.Errorf("calls to the store that is away: got %d, want at most %d", got, want)
+		}
+		if got, want := bytes.Load()/max(answers.Load(), 1), int64(200); got > want {
+			t.Errorf("an answer between nodes that know the same: got %d bytes, want at most %d", got, want)
+		}
+		st.set(func() { st.down = false })
+		st.put(configTopic, configKey, "2")
+		st.put(endpointTopic, "e1", "leaving")
+		time.Sleep(drainBound)
+		for i, s := range others {
+			if got, want := version(s), int64(2); got != want {
+				t.Errorf("node %d, after the store's return: version %d, want %d", i, got, want)
+			}
+			if e, _ := s.Table().Get("e1"); !e.Leaving {
+				t.Errorf("node %d doesn't know that e1 leaves", i)
+			}
+		}
+	})
+}
+
+// The pattern: all nodes start again at the same moment. Each reads the store
+// once; what changes until it knows the others, it hears from them.
+func TestStartReadsTheStoreOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newStore()
+		st.put(configTopic, configKey, "1")
+		st.put(endpointTopic, "a", "up")
+		s := newSyncer(st, nil)
+		s.cfg.Starting = func() bool { return true }
+		start(t, s)
+		time.Sleep(time.Second)
+		if !s.Ready() {
+			t.Errorf("got a node that knows nothing after a second, want one that does")
+		}
+		if got, want := st.calls, 2; got != want {
+			t.Errorf("calls to the store: got %d, want %d, one a topic", got, want)
+		}
+	})
+}
+
 // A reader that no longer hears from the store is passed over, and the nodes read
 // it themselves.
 func TestNodesDoWithoutTheirReader(t *testing.T) {
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -37,9 +37,16 @@
 	// lapseTime is how long entries stay that the store dropped around its own
 	// outage: living endpoints are back within two seconds of its return.
 	lapseTime = 2300 * time.Millisecond
-	// firstWait and lastWait bound the waits between failed calls.
-	firstWait = 60 * time.Millisecond
-	lastWait  = 700 * time.Millisecond
+	// firstWait and lastWait bound the waits between failed calls of a node that
+	// reads for others, and helperFirstWait and helperLastWait those of the rest,
+	// which hear from it, or from any node, that the store answers again.
+	firstWait       = 60 * time.Millisecond
+	lastWait        = 700 * time.Millisecond
+	helperFirstWait = 1500 * time.Millisecond
+	helperLastWait  = 5 * time.Second
+	// peersFirst is how much older its knowledge gets before a node that is
+	// usually told reads the store itself: other nodes are asked meanwhile.
+	peersFirst = 350 * time.Millisecond
 )
 
 // Config is what a syncer needs.
@@ -53,6 +60,9 @@
 	// Configuration and Entry decode records.
 	Configuration func(data []byte) (*mapper.Configuration, error)
 	Entry         func(id string, data []byte) (registrar.Entry, error)
+	// Starting tells whether this node may not know the others yet. It reads each
+	// topic once then.
+	Starting func() bool
 	// Reads tells whether this node reads the store for others. The others ask
 	// the nodes that Readers returns, and any of Peers while those don't answer or
 	// know nothing new; Ask asks one.
@@ -128,14 +138,19 @@
 	returned time.Time
 }
 
-// failed takes in a failed call and returns how long to wait.
-func (o *outage) failed(err error) time.Duration {
+// failed takes in a failed call and returns how long to wait, as one that reads
+// for others or not.
+func (o *outage) failed(err error, reader bool) time.Duration {
 	if o.failures == 0 {
 		o.since = o.now()
 		o.recorder.Warn(recorder.StoreUnreachable, zap.String("what", o.what), zap.Error(err))
 	}
 	o.failures++
-	wait := min(firstWait<<min(o.failures, 10), lastWait)
+	first, last := helperFirstWait, helperLastWait
+	if reader {
+		first, last = firstWait, lastWait
+	}
+	wait := min(first<<min(o.failures, 10), last)
 	return wait/2 + rand.N(wait/2+1)
 }
 
@@ -186,7 +201,7 @@
 			known = false
 			continue
 		case err != nil && ctx.Err() == nil:
-			grouper.Sleep(ctx, o.failed(err))
+			grouper.Sleep(ctx, o.failed(err, s.cfg.Reads()))
 			continue
 		case err != nil:
 			return nil
@@ -229,7 +244,10 @@
 // reads tells whether this node reads the store itself: for others, or as nobody
 // has told it anything for too long.
 func (s *Syncer) reads(known time.Time, limit time.Duration) bool {
-	return s.cfg.Reads() || s.cfg.Now().Sub(known) > limit
+	if s.cfg.Starting() {
+		return known.IsZero()
+	}
+	return s.cfg.Reads() || s.cfg.Now().Sub(known) > limit+peersFirst
 }
 
 // tableTime is as of when the table is known.
