Move streams off engines that are gone at once, and move no more than needed

Each stream waited for its own silence though another one, or another node, had found the engine gone. A changed path also moved parts whose engines lived (median 2 new parts, up to 5), which read all tokens again. When four engines of one path fell silent together nothing was believed, as only two were allowed to be silent: those streams stood for 1 s or lost their caller. Ruled out: the order to change the path (5 to 10 ms). Change: an engine that is found gone is left at once by all streams through it; a silence is believed where more machines answer than are silent; kept parts cost a twentieth, in their exact range; those that leave one engine are spread; a detour that an engine refuses is tried again without it at once. The emulator's engines now read again after a change.

--- a/internal/standin/emulator/emulator.go
+++ b/internal/standin/emulator/emulator.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -78,6 +79,10 @@
 	id    string
 	path  []driver.Part
 	moved chan struct{}
+	// tokens are those so far, and unread the addresses of new parts of the path
+	// that have yet to read them.
+	tokens int
+	unread map[string]bool
 }
 
 // Emulator is a set of engines. It is safe for concurrent use.
@@ -227,6 +232,11 @@
 	if fault, bad := e.fault(path); bad {
 		return &driver.Refused{Reason: driver.ReasonState, Detail: fault}
 	}
+	for _, p := range path {
+		if !slices.Contains(g.path, p) {
+			g.unread[p.Address] = true
+		}
+	}
 	g.path = path
 	close(g.moved)
 	g.moved = make(chan struct{})
@@ -242,7 +252,7 @@
 	if err != nil {
 		return driver.Reply{}, err
 	}
-	g := &generation{id: f.ID, path: f.Path, moved: make(chan struct{})}
+	g := &generation{id: f.ID, path: f.Path, moved: make(chan struct{}), unread: make(map[string]bool)}
 	if refusal, ok := e.admit(g, prompt+answer); !ok {
 		return refusal, nil
 	}
@@ -307,6 +317,9 @@
 		return err
 	}
 	for n := after; n*e.cfg.Stride < answer; n++ {
+		e.mu.Lock()
+		g.tokens = prompt + n*e.cfg.Stride
+		e.mu.Unlock()
 		if err := e.pass(ctx, g, 0, e.cfg.Stride); err != nil {
 			return err
 		}
@@ -332,7 +345,12 @@
 		dead := n == nil || n.dead
 		wait := time.Duration(0)
 		if !dead {
-			wait = e.work(n, part, read, steps)
+			again := 0
+			if g.unread[part.Address] {
+				delete(g.unread, part.Address)
+				again = g.tokens
+			}
+			wait = e.work(n, part, read+again, steps)
 		}
 		first := e.engines[g.path[0].Address]
 		gone := first == nil || first.dead
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -24,6 +24,11 @@
 	leastPatience = 60 * time.Millisecond
 	mostPatience  = 130 * time.Millisecond
 	firstPatience = 130 * time.Millisecond
+	// The same where an engine of the path was found silent for another stream:
+	// one event that comes late is enough.
+	hurriedFactor        = 1.1
+	hurriedLeastPatience = 25 * time.Millisecond
+	hurriedFirstPatience = 60 * time.Millisecond
 	// askAfter is the silence after which the path's first engine is asked
 	// what it waits for, if all engines of the path accept connections.
 	askAfter = 150 * time.Millisecond
@@ -149,12 +154,48 @@
 
 // patience is how long a silence is usual. It needs the lock.
 func (s *session) patience() time.Duration {
-	if s.current == 0 {
+	switch {
+	case s.current == 0 && s.hurried:
+		return hurriedFirstPatience
+	case s.current == 0:
 		return firstPatience
+	case s.hurried:
+		return min(max(time.Duration(hurriedFactor*float64(s.interval)), hurriedLeastPatience), mostPatience)
 	}
 	return min(max(time.Duration(stallFactor*float64(s.interval)), leastPatience), mostPatience)
 }
 
+// abandon looks at once into the streams whose path has an engine that is gone.
+// Their own silence would tell it later.
+func (m *monitor) abandon(address string) {
+	ended := m.f.prober.ended(address)
+	m.mu.Lock()
+	var found []*session
+	for s := range m.sessions {
+		if s.abandon(address, ended) {
+			found = append(found, s)
+		}
+	}
+	m.mu.Unlock()
+	for _, s := range found {
+		go m.rescue(s)
+	}
+}
+
+// abandon marks a stream to look into if its path has an engine that has ended.
+// One whose engine may be silent only here is looked into after a shorter
+// silence.
+func (s *session) abandon(address string, ended bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	uses := slices.ContainsFunc(s.path, func(p pather.Part) bool { return p.Address == address })
+	if s.cancel == nil || s.rescuing || !uses {
+		return false
+	}
+	s.hurried, s.rescuing = true, ended
+	return ended
+}
+
 // unclaim lets a stream be looked into again later.
 func (s *session) unclaim() {
 	s.mu.Lock()
@@ -175,8 +216,8 @@
 	silence := m.f.cfg.Now().Sub(state.last)
 	bad := m.suspects(s, state, silence)
 	now := s.look()
-	if now.last != state.last || now.cancel == nil {
-		return // it went on, or ended
+	if now.cancel == nil || (now.last != state.last && !m.ended(now.path, bad)) {
+		return // it ended, or went on
 	}
 	if len(bad) == 0 && silence < moveAfter {
 		return
@@ -219,10 +260,18 @@
 	return silence > slowNext
 }
 
+// ended tells whether an engine of a path that is at fault has ended, so that no
+// event can come along the path any more.
+func (m *monitor) ended(path []pather.Part, bad []string) bool {
+	return slices.ContainsFunc(path, func(p pather.Part) bool {
+		return slices.Contains(bad, p.Address) && m.f.prober.ended(p.Address)
+	})
+}
+
 // suspects returns the addresses on a stream's path that are at fault.
 func (m *monitor) suspects(s *session, state snapshot, silence time.Duration) []string {
 	if !m.allow(m.knocks, knockRounds) {
-		return nil
+		return m.f.prober.lately(addresses(state.path))
 	}
 	bad := m.f.prober.gone(addresses(state.path))
 	for _, p := range state.path {
@@ -264,6 +313,9 @@
 			zap.String("endpoint", id), zap.String("address", address), zap.String("why", why), zap.Duration("for", d))
 		if why == whySilent {
 			f.cfg.Silent(id)
+			f.assessor.Doubt(id, d)
+			f.monitor.abandon(address)
+			return
 		}
 	}
 	f.assessor.Doubt(id, d)
--- a/internal/supervisor/forwarder/move.go
+++ b/internal/supervisor/forwarder/move.go
@@ -17,11 +17,23 @@
 func (m *monitor) move(s *session, state snapshot, bad []string) {
 	headBad := slices.Contains(bad, state.first().Address)
 	detour, found := []pather.Part(nil), false
-	if !headBad && len(bad) > 0 {
+	for range mostDetours {
+		if headBad || len(bad) == 0 {
+			break
+		}
 		detour, found = m.detour(s, state, bad)
-		if found && pather.Crossings(detour) <= pather.Crossings(state.path) && m.repath(s, state, detour) {
+		if !found || pather.Crossings(detour) > pather.Crossings(state.path) {
+			break
+		}
+		done, refused := m.repath(s, state, detour)
+		if done {
 			return
 		}
+		if refused == "" {
+			break
+		}
+		bad = append(bad, refused)
+		headBad = refused == state.first().Address
 	}
 	if !m.better(s, state) {
 		return
@@ -101,9 +113,13 @@
 	})
 }
 
+// mostDetours is how many detours are tried in a row that an engine along them
+// refuses.
+const mostDetours = 3
+
 // repath orders a stream's first engine to go on along a path, and tells
-// whether it does.
-func (m *monitor) repath(s *session, state snapshot, path []pather.Part) bool {
+// whether it does, and if not which engine refused it.
+func (m *monitor) repath(s *session, state snapshot, path []pather.Part) (done bool, by string) {
 	ctx, cancel := context.WithTimeout(context.Background(), repathTimeout)
 	defer cancel()
 	head := state.first()
@@ -115,29 +131,31 @@
 		m.f.cfg.Counters.Stages.Add("repaths_failed", 1)
 		var refused *driver.Refused
 		if errors.As(err, &refused) {
-			m.blame(path, refused.Detail)
+			return false, m.blame(path, refused.Detail)
 		}
-		return false
+		return false, ""
 	}
 	m.f.cfg.Counters.Stages.Add("repaths", 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.cancel == nil {
-		return true
+		return true, ""
 	}
 	if s.events > 0 && s.moved.IsZero() {
 		s.moved = s.last
 	}
 	s.moves++
 	s.follow(path)
-	return true
+	return true, ""
 }
 
-// blame doubts the part of a path that refused it.
-func (m *monitor) blame(path []pather.Part, address string) {
+// blame doubts the part of a path that refused it, and returns its address.
+func (m *monitor) blame(path []pather.Part, address string) string {
 	for _, p := range path {
 		if p.Address == address {
 			m.f.doubt(p.ID, address, fullTime, "refused")
+			return address
 		}
 	}
+	return ""
 }
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -30,9 +30,12 @@
 	fullPower = 4
 	// overCost is how many times dearer one is that has no room for the request.
 	overCost = 40
-	// keepGain is the part of its cost by which an engine that already has a
-	// stream's memory is preferred when the stream's path changes.
-	keepGain = 0.7
+	// keptCost is the part of its cost that counts of an engine that already has
+	// a stream's memory when the stream's path changes: others read all its tokens
+	// first, while its caller waits. detourNoise spreads the streams that all leave
+	// the same engine over those that can take them.
+	keptCost    = 0.05
+	detourNoise = 1.5
 	// blind is how strongly choices are spread where the work of other nodes is
 	// not known, against the time of a step on a usual engine.
 	blind = 3
@@ -90,18 +93,45 @@
 			}
 			factor *= centres[h.entry.Centre]
 		}
-		if slices.ContainsFunc(ch.kept, func(p pather.Part) bool { return p.Address == h.entry.Address }) {
-			factor *= 1 - keepGain
-		}
-		req.Engines = append(req.Engines, pather.Engine{
+		engine := pather.Engine{
 			ID: h.entry.ID, Address: h.entry.Address, Centre: h.entry.Centre,
 			First: h.entry.First, Last: h.entry.Last, Hop: hopCost * factor,
 			Layer: (h.layer + spread*rand.ExpFloat64()) * factor * rec.Slowness(now),
-		})
+		}
+		if kept, ok := ch.keeps(h.entry); ok {
+			req.Engines = append(req.Engines, kept.as(engine))
+		}
+		if ch.head != nil {
+			noise := 1 + detourNoise*rand.ExpFloat64()
+			engine.Hop, engine.Layer = engine.Hop*noise, engine.Layer*noise
+		}
+		req.Engines = append(req.Engines, engine)
 	}
 	return pather.Find(req)
 }
 
+// keeps returns the part of a stream's path that an engine has, if it still holds
+// its layers.
+func (ch choice) keeps(e registrar.Entry) (keptPart, bool) {
+	for _, p := range ch.kept {
+		if p.Address == e.Address && p.First >= e.First && p.Last <= e.Last {
+			return keptPart(p), true
+		}
+	}
+	return keptPart{}, false
+}
+
+// keptPart is a part of a path whose engine has the stream's memory of just its
+// layers.
+type keptPart pather.Part
+
+// as returns the engine as a holder of nothing but the part.
+func (k keptPart) as(e pather.Engine) pather.Engine {
+	e.First, e.Last, e.Whole = k.First, k.Last, true
+	e.Hop, e.Layer = keptCost*e.Hop, keptCost*e.Layer
+	return e
+}
+
 // unseen is the share of the near nodes whose work is not known.
 func (f *Forwarder) unseen() float64 {
 	others := f.cfg.Near() - 1
--- a/internal/supervisor/forwarder/pather/pather.go
+++ b/internal/supervisor/forwarder/pather/pather.go
@@ -16,6 +16,9 @@
 	Centre  string
 	First   int
 	Last    int
+	// Whole is set if the engine takes part with all of these layers or not at
+	// all. One engine may be listed with several ranges.
+	Whole bool
 	// Hop is the cost of a stage and Layer that of each layer in it.
 	Hop   float64
 	Layer float64
@@ -169,6 +172,9 @@
 		}
 		centre := slices.Index(s.centres, e.Centre)
 		for to := from.cut + 1; to < len(s.cuts) && s.cuts[to] <= e.Last; to++ {
+			if e.Whole && (s.cuts[from.cut] != e.First || s.cuts[to] != e.Last) {
+				continue
+			}
 			if from.cut == 0 && s.req.Head != nil && s.cuts[to] != s.req.Head.Last {
 				continue
 			}
@@ -189,8 +195,9 @@
 			return false
 		}
 	}
+	address := s.req.Engines[engine].Address
 	for s.labels[at].prev >= 0 {
-		if s.labels[at].engine == engine {
+		if s.req.Engines[s.labels[at].engine].Address == address {
 			return false
 		}
 		at = s.labels[at].prev
--- a/internal/supervisor/forwarder/pather/pather_test.go
+++ b/internal/supervisor/forwarder/pather/pather_test.go
@@ -32,6 +32,14 @@
 		{"a crossing where no data centre has a whole path", []Engine{whole[1], whole[2]}, nil, "b1[0,4) a2[4,8) "},
 		{"no path if a layer has no holder", whole[:1], nil, ""},
 		{"a part of a holder's range", append(whole[:1:1], engine("a3", "a", 2, 8)), nil, "a1[0,4) a3[4,8) "},
+		{"all of ranges that can't be parted", []Engine{
+			{ID: "a1", Address: "a1", Centre: "a", First: 0, Last: 4, Whole: true},
+			{ID: "a3", Address: "a3", Centre: "a", First: 2, Last: 8, Whole: true},
+			engine("b2", "b", 4, 8),
+		}, nil, "a1[0,4) b2[4,8) "},
+		{"one of two listings of an engine", append(whole[:1:1], Engine{
+			ID: "a2", Address: "a2", Centre: "a", First: 4, Last: 6, Whole: true,
+		}, engine("a2", "a", 4, 8)), nil, "a1[0,4) a2[4,8) "},
 		{"the head that was asked for", whole, &Part{Address: "b1", Last: 4}, "b1[0,4) b2[4,8) "},
 		{"no path from a head that is gone", whole[:2], &Part{Address: "b1", Last: 4}, ""},
 	}
--- a/internal/supervisor/forwarder/prober.go
+++ b/internal/supervisor/forwarder/prober.go
@@ -18,6 +18,9 @@
 	knockAgain = 8 * time.Millisecond
 	// knockFresh is how long a result is used again.
 	knockFresh = 100 * time.Millisecond
+	// lostFresh is how long an endpoint that was found gone is taken for gone
+	// without another try: one that starts again has layers to load first.
+	lostFresh = 500 * time.Millisecond
 	// knockLate is by how much a knock may end later than its timeout; more means
 	// that this node did not run, so that its result says nothing.
 	knockLate = 15 * time.Millisecond
@@ -53,15 +56,17 @@
 
 	mu     sync.Mutex
 	knocks map[string]*knock
+	// lost is when an address was last found without its endpoint.
+	lost map[string]time.Time
 }
 
 func newProber(f func(ctx context.Context, address string) error, now func() time.Time) *prober {
-	return &prober{knock: f, now: now, knocks: make(map[string]*knock)}
+	return &prober{knock: f, now: now, knocks: make(map[string]*knock), lost: make(map[string]time.Time)}
 }
 
 // gone returns those of the addresses at which no endpoint is. Silence is
-// believed only of a few beside others that answer: otherwise it is more likely
-// this node that is cut off or slow.
+// believed only where more machines answer than are silent: otherwise it is more
+// likely this node that is cut off or slow.
 func (p *prober) gone(addresses []string) []string {
 	tries := make([]*knock, 0, len(addresses))
 	for _, address := range addresses {
@@ -72,12 +77,29 @@
 		<-k.done
 		counts[k.answer]++
 	}
-	believed := counts[unclear] == 0 && counts[silent] <= mostSilent &&
-		(len(addresses) == 1 || counts[silent] < len(addresses)-counts[refuses])
+	believed := counts[unclear] == 0 &&
+		(len(addresses) == 1 || counts[silent] < counts[accepts]+counts[refuses])
 	var gone []string
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for i, k := range tries {
 		if k.answer == refuses || (k.answer == silent && believed) {
 			gone = append(gone, addresses[i])
+			p.lost[addresses[i]] = k.began
+		}
+	}
+	return gone
+}
+
+// lately returns those of the addresses that were found without their endpoint
+// a moment ago.
+func (p *prober) lately(addresses []string) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var gone []string
+	for _, address := range addresses {
+		if at, ok := p.lost[address]; ok && p.now().Sub(at) < lostFresh {
+			gone = append(gone, address)
 		}
 	}
 	return gone
@@ -91,10 +113,6 @@
 	return k.answer == refuses
 }
 
-// mostSilent is how many endpoints of one path are believed to have fallen silent
-// at once.
-const mostSilent = 2
-
 // begin returns a recent try, or a new one.
 func (p *prober) begin(address string) *knock {
 	p.mu.Lock()
@@ -139,4 +157,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.knocks, func(address string, _ *knock) bool { return !known[address] })
+	maps.DeleteFunc(p.lost, func(address string, _ time.Time) bool { return !known[address] })
 }
--- a/internal/supervisor/forwarder/prober_test.go
+++ b/internal/supervisor/forwarder/prober_test.go
@@ -28,6 +28,10 @@
 		{"one alone that is silent", map[string]func(context.Context) error{"a": hang}, []string{"a"}},
 		// The pattern: a slow or choked node hears of no engine in time.
 		{"all silent: it is this node", map[string]func(context.Context) error{"a": hang, "b": hang}, nil},
+		// The pattern: engines that work together fall silent together.
+		{"fewer silent than answer", map[string]func(context.Context) error{
+			"a": hang, "b": accept, "c": hang, "d": accept, "e": hang, "f": accept, "g": accept,
+		}, []string{"a", "c", "e"}},
 		{"many silent: the same", map[string]func(context.Context) error{"a": hang, "b": hang, "c": hang, "d": accept, "e": accept}, nil},
 	}
 	for _, c := range cases {
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -35,6 +35,9 @@
 	// it may do so again.
 	rescuing bool
 	next     time.Time
+	// hurried is set while an engine of the path is taken for silent: the stream
+	// is looked into sooner. The next event ends it.
+	hurried bool
 	// looks counts the looks since the last event, and looked those of the
 	// attempt.
 	looks  int
@@ -59,7 +62,7 @@
 	if s.events > 0 && s.moved.IsZero() {
 		s.moved = s.last
 	}
-	s.cancel, s.current, s.last, s.next, s.looks, s.looked = cancel, 0, now, now, 0, 0
+	s.cancel, s.current, s.last, s.next, s.looks, s.looked, s.hurried = cancel, 0, now, now, 0, 0, false
 	s.follow(path)
 }
 
@@ -112,7 +115,7 @@
 	s.last = now
 	s.events++
 	s.current++
-	s.looks, s.next = 0, now
+	s.looks, s.next, s.hurried = 0, now, false
 }
 
 // snapshot is a session's state at one moment. It is an immutable value.
