--- a/internal/standin/emulator/emulator.go
+++ b/internal/standin/emulator/emulator.go
@@ -85,6 +85,15 @@
 	unread map[string]bool
 }
 
+// again returns the tokens that an engine has to read since the path changed.
+func (g *generation) again(address string) int {
+	if !g.unread[address] {
+		return 0
+	}
+	delete(g.unread, address)
+	return g.tokens
+}
+
 // Emulator is a set of engines. It is safe for concurrent use.
 type Emulator struct {
 	cfg Config
@@ -345,12 +354,7 @@
 		dead := n == nil || n.dead
 		wait := time.Duration(0)
 		if !dead {
-			again := 0
-			if g.unread[part.Address] {
-				delete(g.unread, part.Address)
-				again = g.tokens
-			}
-			wait = e.work(n, part, read+again, steps)
+			wait = e.work(n, part, read+g.again(part.Address), steps)
 		}
 		first := e.engines[g.path[0].Address]
 		gone := first == nil || first.dead
