Choose paths of many nodes without samples of their loads, and fewer stages

Change: loads are told among up to 16 nodes; a stage costs 1.5 ms; another data centre 82 ms where choices are spread; a node that has just started spreads them; a detour is spread over engines that take a part of the gap, too; engines along which another stream had an event 30 ms ago are not tried, and looks follow sooner. Tests, failing before: TestLoadsOfManyNodesAreNotTold, TestStartingNodesSpreadTheir- Streams (300 of 300 at one engine, 150 wanted), TestUnheard.

--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -50,6 +50,8 @@
 	// KeyAge is how old the configuration's confirmation may be for requests
 	// with a key.
 	KeyAge func() time.Duration
+	// Starting tells whether this node may not know the others yet.
+	Starting func() bool
 	// Nodes returns how many nodes share the endpoints, and Near how many of
 	// them are in this node's data centre.
 	Nodes func() int
@@ -94,7 +96,7 @@
 func (f *Forwarder) Suspect(id string) {
 	if e, ok := f.cfg.Endpoints().Get(id); ok && !f.assessor.Doubtful(id) {
 		go func() {
-			if len(f.prober.gone([]string{e.Address})) > 0 {
+			if len(f.prober.gone([]string{e.Address}, 0)) > 0 {
 				f.doubt(e.ID, e.Address, silentTime, whySilent)
 			}
 		}()
--- a/internal/supervisor/forwarder/generate_test.go
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -64,6 +64,8 @@
 	time.Sleep(time.Second)
 	do()
 	wg.Wait()
+	cancel()
+	time.Sleep(knockTimeout) // tries to connect that are under way end
 	return answers
 }
 
@@ -149,6 +151,9 @@
 func TestStreamsLeaveAnEngineThatOthersFindGone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		all, entries := engines(map[string][][2]int{"a": {{0, 20}, {20, 40}, {40, 60}, {60, 80}, {20, 40}, {20, 40}}})
+		for i := range all {
+			all[i].Pace = 8 // events every 14 ms
+		}
 		e := emulator.New(emulator.Defaults(), all)
 		w := newWorld(t, e.Relay(), entries...)
 		answers := w.run(t, 2, func() {
@@ -239,6 +244,31 @@
 	})
 }
 
+// The pattern: all nodes start again at the same moment, and all callers come back
+// at once. Nodes that don't know of each other don't all choose the fastest engine.
+func TestStartingNodesSpreadTheirStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, entries := engines(map[string][][2]int{"a": {{0, 40}, {0, 40}, {0, 40}, {0, 40}, {40, 80}}})
+		entries[0].Accelerator = "fast"
+		const nodes = 300
+		first := make(map[string]int)
+		for range nodes {
+			w := newWorld(t, emulator.New(emulator.Defaults(), all).Relay(), entries...)
+			w.starting = true
+			path, err := w.f.path(&call{need: 1000, service: "llm"}, "")
+			if err != nil {
+				t.Fatal(err)
+			}
+			first[path[0].ID]++
+		}
+		for id, got := range first {
+			if want := nodes / 2; got > want {
+				t.Errorf("%s is the first engine of %d of %d nodes, want at most %d of four engines", id, got, nodes, want)
+			}
+		}
+	})
+}
+
 // longest is the longest pause between two events of any stream.
 func longest(w *world) time.Duration {
 	var s struct{ Max float64 }
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -43,9 +43,12 @@
 	// after two seconds.
 	slowFirst = 250 * time.Millisecond
 	slowNext  = 700 * time.Millisecond
-	// lookAgain is the time between two looks into one stream.
-	// and grows with each look that finds nothing.
-	lookAgain = 60 * time.Millisecond
+	// heardFresh is how recent an event along an engine has to be for the engine
+	// not to be tried for another stream: it left the engine some time before.
+	heardFresh = 30 * time.Millisecond
+	// lookAgain is the time between two looks into one stream, and grows with each
+	// look that finds nothing.
+	lookAgain = 40 * time.Millisecond
 	lookLast  = 500 * time.Millisecond
 	// silentTime is how long an engine is avoided that accepted no connection.
 	silentTime = 3 * time.Second
@@ -268,12 +271,31 @@
 	})
 }
 
+// unheard returns the addresses of a path's engines but those along which
+// another stream has just had an event.
+func (m *monitor) unheard(s *session, path []pather.Part) []string {
+	now := m.f.cfg.Now()
+	heard := make(map[string]bool)
+	m.mu.Lock()
+	for other := range m.sessions {
+		if state := other.look(); other != s && state.current > 0 && now.Sub(state.last) < heardFresh {
+			for _, p := range state.path {
+				heard[p.Address] = true
+			}
+		}
+	}
+	m.mu.Unlock()
+	return slices.DeleteFunc(addresses(path), func(address string) bool { return heard[address] })
+}
+
 // suspects returns the addresses on a stream's path that are at fault.
 func (m *monitor) suspects(s *session, state snapshot, silence time.Duration) []string {
+	bad := m.f.prober.lately(addresses(state.path))
 	if !m.allow(m.knocks, knockRounds) {
-		return m.f.prober.lately(addresses(state.path))
+		return bad
 	}
-	bad := m.f.prober.gone(addresses(state.path))
+	unheard := slices.DeleteFunc(m.unheard(s, state.path), func(address string) bool { return slices.Contains(bad, address) })
+	bad = append(bad, m.f.prober.gone(unheard, len(state.path)-len(unheard)-len(bad))...)
 	for _, p := range state.path {
 		if slices.Contains(bad, p.Address) {
 			m.f.doubt(p.ID, p.Address, silentTime, whySilent)
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -14,12 +14,13 @@
 // Costs of a path, in milliseconds a token. A whole path of engines takes some
 // ten.
 const (
-	// hopCost is a message between two engines of one data centre.
-	hopCost = 0.3
+	// hopCost is for each engine: the message to it, and the wait for the pass that
+	// it is in, in which it reads prompts beside the steps.
+	hopCost = 1.5
 	// awayCost is for a path in another data centre: the events cross once. Where
 	// choices are spread, awayBlind more keeps them in the own one.
 	awayCost  = 2
-	awayBlind = 25
+	awayBlind = 80
 	// crossingCost is for each crossing within a path: the activations of every
 	// token cross over a pipe that all paths share, so it is taken only where
 	// no data centre has a whole path.
@@ -30,12 +31,14 @@
 	fullPower = 4
 	// overCost is how many times dearer one is that has no room for the request.
 	overCost = 40
-	// keptCost is the part of its cost that counts of an engine that already has
-	// a stream's memory when the stream's path changes: others read all its tokens
-	// first, while its caller waits. detourNoise spreads the streams that all leave
-	// the same engine over those that can take them.
-	keptCost    = 0.05
-	detourNoise = 1.5
+	// keptCost is for an engine that already has a stream's memory when the stream's
+	// path changes: others read all its tokens first, while its caller waits.
+	keptCost = 0.005
+	// detourHop is the cost of a stage of a detour, less than usual, and detourBase
+	// the part of its cost that doesn't vary: they spread the streams that all leave
+	// the same engine over those that can take its layers, or some of them.
+	detourHop  = 0.3
+	detourBase = 0.2
 	// blind is how strongly choices are spread where the work of other nodes is
 	// not known, against the time of a step on a usual engine.
 	blind = 3
@@ -102,8 +105,8 @@
 			req.Engines = append(req.Engines, kept.as(engine))
 		}
 		if ch.head != nil {
-			noise := 1 + detourNoise*rand.ExpFloat64()
-			engine.Hop, engine.Layer = engine.Hop*noise, engine.Layer*noise
+			noise := detourBase + rand.ExpFloat64()
+			engine.Hop, engine.Layer = detourHop*factor*noise, engine.Layer*noise
 		}
 		req.Engines = append(req.Engines, engine)
 	}
@@ -128,12 +131,16 @@
 // as returns the engine as a holder of nothing but the part.
 func (k keptPart) as(e pather.Engine) pather.Engine {
 	e.First, e.Last, e.Whole = k.First, k.Last, true
-	e.Hop, e.Layer = keptCost*e.Hop, keptCost*e.Layer
+	e.Hop, e.Layer = keptCost, 0
 	return e
 }
 
-// unseen is the share of the near nodes whose work is not known.
+// unseen is the share of the near nodes whose work is not known: all of it at a
+// node that has just started, often together with the others.
 func (f *Forwarder) unseen() float64 {
+	if f.cfg.Starting() {
+		return 1
+	}
 	others := f.cfg.Near() - 1
 	if others <= 0 {
 		return 0
--- a/internal/supervisor/forwarder/prober.go
+++ b/internal/supervisor/forwarder/prober.go
@@ -65,9 +65,10 @@
 }
 
 // gone returns those of the addresses at which no endpoint is. Silence is
-// believed only where more machines answer than are silent: otherwise it is more
-// likely this node that is cut off or slow.
-func (p *prober) gone(addresses []string) []string {
+// believed only where more machines answer than are silent, those included that
+// others have just heard of: otherwise it is more likely this node that is cut
+// off or slow.
+func (p *prober) gone(addresses []string, heard int) []string {
 	tries := make([]*knock, 0, len(addresses))
 	for _, address := range addresses {
 		tries = append(tries, p.begin(address))
@@ -78,7 +79,7 @@
 		counts[k.answer]++
 	}
 	believed := counts[unclear] == 0 &&
-		(len(addresses) == 1 || counts[silent] < counts[accepts]+counts[refuses])
+		(len(addresses)+heard == 1 || counts[silent] < counts[accepts]+counts[refuses]+heard)
 	var gone []string
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/supervisor/forwarder/prober_test.go
+++ b/internal/supervisor/forwarder/prober_test.go
@@ -8,6 +8,9 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/supervisor/forwarder/pather"
 )
 
 func TestGone(t *testing.T) {
@@ -20,19 +23,22 @@
 	cases := []struct {
 		name string
 		all  map[string]func(context.Context) error
-		want []string
+		// heard is how many more engines others have heard of.
+		heard int
+		want  []string
 	}{
-		{"one that refuses", map[string]func(context.Context) error{"a": accept, "b": refuse}, []string{"b"}},
-		{"all that refuse", map[string]func(context.Context) error{"a": refuse, "b": refuse}, []string{"a", "b"}},
-		{"one that is silent", map[string]func(context.Context) error{"a": accept, "b": hang, "c": accept}, []string{"b"}},
-		{"one alone that is silent", map[string]func(context.Context) error{"a": hang}, []string{"a"}},
+		{"one that refuses", map[string]func(context.Context) error{"a": accept, "b": refuse}, 0, []string{"b"}},
+		{"all that refuse", map[string]func(context.Context) error{"a": refuse, "b": refuse}, 0, []string{"a", "b"}},
+		{"one that is silent", map[string]func(context.Context) error{"a": accept, "b": hang, "c": accept}, 0, []string{"b"}},
+		{"one alone that is silent", map[string]func(context.Context) error{"a": hang}, 0, []string{"a"}},
 		// The pattern: a slow or choked node hears of no engine in time.
-		{"all silent: it is this node", map[string]func(context.Context) error{"a": hang, "b": hang}, nil},
+		{"all silent: it is this node", map[string]func(context.Context) error{"a": hang, "b": hang}, 0, nil},
 		// The pattern: engines that work together fall silent together.
 		{"fewer silent than answer", map[string]func(context.Context) error{
 			"a": hang, "b": accept, "c": hang, "d": accept, "e": hang, "f": accept, "g": accept,
-		}, []string{"a", "c", "e"}},
-		{"many silent: the same", map[string]func(context.Context) error{"a": hang, "b": hang, "c": hang, "d": accept, "e": accept}, nil},
+		}, 0, []string{"a", "c", "e"}},
+		{"silent beside others that were heard of", map[string]func(context.Context) error{"a": hang, "b": hang}, 3, []string{"a", "b"}},
+		{"many silent: the same", map[string]func(context.Context) error{"a": hang, "b": hang, "c": hang, "d": accept, "e": accept}, 0, nil},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -43,7 +49,7 @@
 					addresses = append(addresses, address)
 				}
 				slices.Sort(addresses)
-				if got := p.gone(addresses); !slices.Equal(got, c.want) {
+				if got := p.gone(addresses, c.heard); !slices.Equal(got, c.want) {
 					t.Errorf("got %v, want %v", got, c.want)
 				}
 			})
@@ -51,6 +57,22 @@
 	}
 }
 
+// The pattern: many streams of a node share engines. One that is late alone has no
+// connections tried along engines from which the others hear.
+func TestUnheard(t *testing.T) {
+	w := newWorld(t, driver.Relay{Knock: alive})
+	part := func(id string) pather.Part { return pather.Part{ID: id, Address: id} }
+	late, fresh, old := w.f.monitor.begin(&call{}), w.f.monitor.begin(&call{}), w.f.monitor.begin(&call{})
+	now := time.Now()
+	late.path, fresh.path, old.path = []pather.Part{part("a"), part("b"), part("c")}, []pather.Part{part("a")}, []pather.Part{part("b")}
+	late.last, late.current = now, 3
+	fresh.last, fresh.current = now, 1
+	old.last, old.current = now.Add(-heardFresh), 1
+	if got, want := w.f.monitor.unheard(late, late.path), []string{"b", "c"}; !slices.Equal(got, want) {
+		t.Errorf("got %v to try, want %v", got, want)
+	}
+}
+
 // The pattern: three packets in a hundred are lost, also the first of a
 // connection.
 func TestLostPacketIsNoSilence(t *testing.T) {
@@ -63,7 +85,7 @@
 			<-ctx.Done()
 			return ctx.Err()
 		}, time.Now)
-		if got := p.gone([]string{"a"}); len(got) > 0 {
+		if got := p.gone([]string{"a"}, 0); len(got) > 0 {
 			t.Errorf("got %v, want none", got)
 		}
 	})
@@ -79,7 +101,7 @@
 			late.Store(int64(60 * time.Millisecond))
 			return ctx.Err()
 		}, func() time.Time { return now.Add(time.Duration(late.Load())) })
-		if got := p.gone([]string{"a"}); len(got) > 0 {
+		if got := p.gone([]string{"a"}, 0); len(got) > 0 {
 			t.Errorf("got %v, want none", got)
 		}
 	})
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -32,6 +32,8 @@
 	counters  *counter.Set
 	// slack is the repeats that are left in a window.
 	slack float64
+	// starting is set while the node may not know the others.
+	starting bool
 	// told are the engines that other nodes were told of.
 	told []string
 }
@@ -71,7 +73,7 @@
 		Organisations: map[string]mapper.Organisation{secret: {Name: "org"}},
 		Services: []mapper.Service{{Name: "desk"}, {Name: "llm", Engine: &mapper.Engine{
 			Slots: 192, Layers: 80, LayerMB: 1750, CacheBytes: 426000, Step: 850 * time.Microsecond, Stride: 2,
-			Accelerators: []mapper.Accelerator{{Name: "l4", MB: 80000, Pace: 16}},
+			Accelerators: []mapper.Accelerator{{Name: "l4", MB: 80000, Pace: 16}, {Name: "fast", MB: 80000, Pace: 8}},
 		}}},
 	})}
 	changes := make([]registrar.Change, 0, len(entries))
@@ -98,7 +100,8 @@
 			Now:    time.Now, Started: time.Now().Add(-time.Minute),
 		}),
 		Centre: "a", KeyAge: func() time.Duration { return 4800 * time.Millisecond },
-		Nodes: func() int { return 1 }, Near: func() int { return 1 },
+		Starting: func() bool { return w.starting },
+		Nodes:    func() int { return 1 }, Near: func() int { return 1 },
 		Others: func(string) (int, int) { return 0, 0 },
 		Silent: func(id string) {
 			w.mu.Lock()
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -61,9 +61,12 @@
 	// otherReaders is of how many other data centres the reading nodes are asked
 	// while the own one's doesn't answer.
 	otherReaders = 2
-	// fewNodes is below how many nodes of a caller's data centre it is also
-	// given those of others.
-	fewNodes = 2
+	// fewNodes is up to how many nodes tell each other their loads: a node has
+	// links with some eight others.
+	fewNodes = 16
+	// fewNear is below how many nodes of a caller's data centre it is also given
+	// those of others.
+	fewNear = 2
 	// mostAddresses is how many addresses a caller takes in.
 	mostAddresses = 64
 )
@@ -167,6 +170,7 @@
 	r.teller = teller.New(teller.Config{
 		Links: r.linker, Now: r.clock.Now,
 		Loads:   func() map[string]int { return r.forwarder.Loads() },
+		Few:     func() bool { return r.nodes() <= fewNodes },
 		Suspect: func(id string) { r.forwarder.Suspect(id) },
 		Spent:   func() map[string]budgeter.Spent { return r.budget.Spent() },
 		Paces:   func() map[string]float64 { return r.forwarder.Paces() },
@@ -181,10 +185,10 @@
 	})
 	r.forwarder = forwarder.New(forwarder.Config{
 		Decode: p.Request, View: r.syncer.View, Endpoints: r.syncer.Table, Relay: p.Relay,
-		Budget: r.budget,
-		Centre: s.Centre,
-		KeyAge: func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
-		Nodes:  r.nodes, Near: r.near, Others: r.teller.Others, Silent: r.teller.Silent, Gate: r.gate, Now: r.clock.Now,
+		Budget:   r.budget,
+		Centre:   s.Centre,
+		KeyAge:   func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
+		Starting: r.starting, Nodes: r.nodes, Near: r.near, Others: r.teller.Others, Silent: r.teller.Silent, Gate: r.gate, Now: r.clock.Now,
 		Recorder: r.recorder, Counters: cfg.Counters, Latency: cfg.Latencies,
 	})
 	return r
@@ -386,7 +390,7 @@
 			near = append(near, frontend)
 		}
 	}
-	if len(near) >= fewNodes {
+	if len(near) >= fewNear {
 		all = near
 	}
 	if len(all) > mostAddresses {
--- a/internal/supervisor/teller/teller.go
+++ b/internal/supervisor/teller/teller.go
@@ -41,8 +41,10 @@
 type message struct {
 	// Loads are those above zero; all of the sender's.
 	Loads []Load `cbor:"1,keyasint,omitempty"`
-	// Told is set if Loads is meant, also if it is empty.
-	Told bool `cbor:"2,keyasint,omitempty"`
+	// Told is set if the fields below Silent are meant, also if they are empty, and
+	// Loaded if Loads is.
+	Told   bool `cbor:"2,keyasint,omitempty"`
+	Loaded bool `cbor:"6,keyasint,omitempty"`
 	// Silent are endpoints that accept no connection of the sender.
 	Silent []string `cbor:"3,keyasint,omitempty"`
 	// Slow are engines that are slower than usual.
@@ -71,8 +73,12 @@
 // Config is what a teller needs.
 type Config struct {
 	Links *linker.Linker
-	// Loads returns this node's tokens in progress by endpoint.
+	// Loads returns this node's tokens in progress by endpoint, and Few tells
+	// whether the nodes are few enough for each to hear of most. In a larger fleet
+	// loads are not told: a sample of them would make nodes that hear the same
+	// avoid, and choose, the same engines.
 	Loads func() map[string]int
+	Few   func() bool
 	// Spent returns what this node has sent to services of late.
 	Spent func() map[string]budgeter.Spent
 	// Paces returns how many times slower than usual slow engines are, by ID, as
@@ -88,9 +94,10 @@
 // peer is what was told over one link.
 type peer struct {
 	address string
-	loads   map[uint32]int
-	spent   map[uint32]budgeter.Spent
-	heard   time.Time
+	// loads is nil if the peer doesn't tell them.
+	loads map[uint32]int
+	spent map[uint32]budgeter.Spent
+	heard time.Time
 	// told is when the loads were last told to it, and silent what waits to
 	// be told.
 	told   time.Time
@@ -138,7 +145,12 @@
 // and how many nodes have told of their loads of late.
 func (t *Teller) Others(id string) (tokens, nodes int) {
 	key := short(id)
-	nodes = t.each(func(p *peer) { tokens += p.loads[key] * unit })
+	t.each(func(p *peer) {
+		if p.loads != nil {
+			tokens += p.loads[key] * unit
+			nodes++
+		}
+	})
 	return tokens, nodes
 }
 
@@ -207,7 +219,10 @@
 	m.Silent, p.silent = p.silent, nil
 	if now.Sub(p.told) >= interval {
 		p.told = now
-		m.Loads, m.Told, m.Slow, m.Spent = t.loads(), true, t.slow(), t.spent()
+		m.Told, m.Slow, m.Spent = true, t.slow(), t.spent()
+		if m.Loaded = t.cfg.Few(); m.Loaded {
+			m.Loads = t.loads()
+		}
 	}
 	if !m.Told && len(m.Silent) == 0 {
 		return nil
@@ -259,8 +274,10 @@
 	now := t.cfg.Now()
 	t.mu.Lock()
 	if p := t.peers[link.ID]; p != nil && m.Told {
-		p.heard = now
-		p.loads = make(map[uint32]int, len(m.Loads))
+		p.heard, p.loads = now, nil
+		if m.Loaded {
+			p.loads = make(map[uint32]int, len(m.Loads))
+		}
 		for _, l := range m.Loads {
 			p.loads[l.ID] += int(l.Units)
 		}
--- a/internal/supervisor/teller/teller_test.go
+++ b/internal/supervisor/teller/teller_test.go
@@ -12,6 +12,7 @@
 // node is a teller with what it would be asked and told.
 type node struct {
 	*Teller
+	many      bool
 	loads     map[string]int
 	paces     map[string]float64
 	spent     map[string]budgeter.Spent
@@ -25,6 +26,7 @@
 	n.Teller = New(Config{
 		Links: linker.New(linker.Config{Address: name}),
 		Loads: func() map[string]int { return n.loads },
+		Few:   func() bool { return !n.many },
 		Spent: func() map[string]budgeter.Spent { return n.spent },
 		Paces: func() map[string]float64 { return n.paces },
 		Paced: func(id string, pace float64) { n.paced[id] = pace },
@@ -70,6 +72,27 @@
 	}
 }
 
+// The pattern: a fleet in which each node has links with a few of many.
+func TestLoadsOfManyNodesAreNotTold(t *testing.T) {
+	a, b := newNode("a"), newNode("b")
+	a.many, a.loads = true, map[string]int{"e1": 1000}
+	a.spent = map[string]budgeter.Spent{"s": {Requests: 3}}
+	tell := link(a, b, "1")
+	tell()
+	if tokens, nodes := b.Others("e1"); tokens != 0 || nodes != 0 {
+		t.Errorf("got %d tokens of %d nodes, want none", tokens, nodes)
+	}
+	if spent, nodes := b.OthersSpent("s"); spent.Requests != 3 || nodes != 1 {
+		t.Errorf("got %v spent of %d nodes, want 3 requests of 1", spent, nodes)
+	}
+	a.many = false
+	a.now = a.now.Add(interval)
+	tell()
+	if tokens, nodes := b.Others("e1"); tokens == 0 || nodes != 1 {
+		t.Errorf("few nodes: got %d tokens of %d nodes, want those of 1", tokens, nodes)
+	}
+}
+
 func TestTellingIsPaced(t *testing.T) {
 	a, b := newNode("a"), newNode("b")
 	tell := link(a, b, "1")
