Believe in no silence while this node runs late, and tell of each engine found gone

The check that a try ended late sees only pauses at its end. Second cause, by a test that failed 1 of 15 times: an engine that had refused a detour was in doubt already when it was found gone, so that its streams weren't moved, nor the other nodes told. Ruled out: engines being silent (they answered before and after), the store. Change: a look that comes 20 ms late marks this node as late: a silence that spans it is not believed, and none is judged for 30 ms; found gone is news whatever the engine is avoided for; refusals hold for 500 ms.

--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -122,6 +122,7 @@
 	}
 	f.prober.keep(known)
 	f.monitor.reports.keep(known)
+	f.monitor.keep(known)
 	return next
 }
 
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -79,12 +79,9 @@
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
-	f := &Forwarder{
-		cfg:      cfg,
-		assessor: assessor.New(cfg.Now),
-		prober:   newProber(cfg.Relay.Knock, cfg.Now),
-	}
+	f := &Forwarder{cfg: cfg, assessor: assessor.New(cfg.Now)}
 	f.monitor = newMonitor(f)
+	f.prober = newProber(cfg.Relay.Knock, cfg.Now, f.monitor.ranLate)
 	return f
 }
 
@@ -94,7 +91,11 @@
 // Suspect takes in that another node found an endpoint silent: this node tries
 // it too.
 func (f *Forwarder) Suspect(id string) {
-	if e, ok := f.cfg.Endpoints().Get(id); ok && !f.assessor.Doubtful(id) {
+	e, ok := f.cfg.Endpoints().Get(id)
+	f.monitor.mu.Lock()
+	known := f.monitor.knows(e.Address)
+	f.monitor.mu.Unlock()
+	if ok && !known {
 		go func() {
 			if len(f.prober.gone([]string{e.Address}, 0)) > 0 {
 				f.doubt(e.ID, e.Address, silentTime, whySilent)
--- a/internal/supervisor/forwarder/generate_test.go
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -65,7 +65,7 @@
 	do()
 	wg.Wait()
 	cancel()
-	time.Sleep(knockTimeout) // tries to connect that are under way end
+	time.Sleep(knockTimeout + reportTimeout + repathTimeout) // what is under way ends
 	return answers
 }
 
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -17,6 +18,11 @@
 const (
 	// monitorTick is the time between two looks at the streams in progress.
 	monitorTick = 10 * time.Millisecond
+	// lateTick is the time between two looks from which on this process counts as
+	// one that did not run: what it hears of engines is late, too. lateGrace is how
+	// long it takes in what came meanwhile before it judges silences again.
+	lateTick  = 20 * time.Millisecond
+	lateGrace = 30 * time.Millisecond
 	// A stream is looked into after a silence of stallFactor usual intervals
 	// between events, within these bounds; before its first event, after
 	// firstPatience.
@@ -74,14 +80,21 @@
 	asks   *rate.Limiter
 
 	mu sync.Mutex
+	// ticked is when the streams were last looked at, and late when the last look
+	// came late.
+	ticked time.Time
+	late   time.Time
 	// surveyed is when all engines were last asked for their pace.
 	surveyed time.Time
 	sessions map[*session]bool
+	// gone is when engines were last found gone, by address.
+	gone map[string]time.Time
 }
 
 func newMonitor(f *Forwarder) *monitor {
 	return &monitor{
-		f: f, reports: newReporter(f.cfg.Relay.Report, f.cfg.Now), sessions: make(map[*session]bool),
+		f: f, reports: newReporter(f.cfg.Relay.Report, f.cfg.Now),
+		sessions: make(map[*session]bool), gone: make(map[string]time.Time),
 		knocks: rate.NewLimiter(rate.Inf, 1), asks: rate.NewLimiter(rate.Inf, 1),
 	}
 }
@@ -125,11 +138,37 @@
 
 // look finds the streams that have stalled.
 func (m *monitor) look(now time.Time) {
+	if !m.tick(now) {
+		return
+	}
 	for _, s := range m.stalled(now) {
 		go m.rescue(s)
 	}
 }
 
+// tick takes in that a look is made, and tells whether silences may be judged: not
+// right after a while in which this process did not run.
+func (m *monitor) tick(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.ticked.IsZero() && now.Sub(m.ticked) >= lateTick {
+		m.late = now
+		m.f.cfg.Counters.Stages.Add("late_ticks", 1)
+	}
+	m.ticked = now
+	return m.late.IsZero() || now.Sub(m.late) >= lateGrace
+}
+
+// ranLate tells whether this process did not run for a while since a moment.
+func (m *monitor) ranLate(since time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.ticked.IsZero() {
+		return false
+	}
+	return m.late.After(since) || m.f.cfg.Now().Sub(m.ticked) >= lateTick
+}
+
 // stalled marks the streams to look into and returns them.
 func (m *monitor) stalled(now time.Time) []*session {
 	m.mu.Lock()
@@ -290,12 +329,17 @@
 
 // suspects returns the addresses on a stream's path that are at fault.
 func (m *monitor) suspects(s *session, state snapshot, silence time.Duration) []string {
-	bad := m.f.prober.lately(addresses(state.path))
+	ended := m.f.prober.knownEnded(addresses(state.path))
 	if !m.allow(m.knocks, knockRounds) {
-		return bad
+		return ended
+	}
+	unheard := m.unheard(s, state.path)
+	bad := m.f.prober.gone(unheard, len(state.path)-len(unheard))
+	for _, address := range ended {
+		if !slices.Contains(bad, address) {
+			bad = append(bad, address)
+		}
 	}
-	unheard := slices.DeleteFunc(m.unheard(s, state.path), func(address string) bool { return slices.Contains(bad, address) })
-	bad = append(bad, m.f.prober.gone(unheard, len(state.path)-len(unheard)-len(bad))...)
 	for _, p := range state.path {
 		if slices.Contains(bad, p.Address) {
 			m.f.doubt(p.ID, p.Address, silentTime, whySilent)
@@ -327,20 +371,43 @@
 	return bad
 }
 
-// doubt lets an engine be avoided for a while.
+// doubt lets an engine be avoided for a while. That it is gone is news even of one
+// that is avoided already for another reason.
 func (f *Forwarder) doubt(id, address string, d time.Duration, why string) {
-	if !f.assessor.Doubtful(id) {
+	gone := why == whySilent && f.monitor.news(address)
+	if gone || !f.assessor.Doubtful(id) {
 		f.cfg.Counters.Stages.Add("doubts_"+why, 1)
 		f.cfg.Recorder.Info(recorder.EndpointDoubted,
 			zap.String("endpoint", id), zap.String("address", address), zap.String("why", why), zap.Duration("for", d))
-		if why == whySilent {
-			f.cfg.Silent(id)
-			f.assessor.Doubt(id, d)
-			f.monitor.abandon(address)
-			return
-		}
 	}
 	f.assessor.Doubt(id, d)
+	if gone {
+		f.cfg.Silent(id)
+		f.monitor.abandon(address)
+	}
+}
+
+// news takes in that an engine was found gone, and tells whether that was not
+// known.
+func (m *monitor) news(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	known := m.knows(address)
+	m.gone[address] = m.f.cfg.Now()
+	return !known
+}
+
+// knows tells whether an engine was found gone of late. It needs the lock.
+func (m *monitor) knows(address string) bool {
+	at, ok := m.gone[address]
+	return ok && m.f.cfg.Now().Sub(at) < silentTime
+}
+
+// keep forgets the engines that are gone for good.
+func (m *monitor) keep(known map[string]bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.gone, func(address string, _ time.Time) bool { return !known[address] })
 }
 
 // whySilent is the reason of a doubt that the other nodes are told of.
--- a/internal/supervisor/forwarder/prober.go
+++ b/internal/supervisor/forwarder/prober.go
@@ -18,9 +18,9 @@
 	knockAgain = 8 * time.Millisecond
 	// knockFresh is how long a result is used again.
 	knockFresh = 100 * time.Millisecond
-	// lostFresh is how long an endpoint that was found gone is taken for gone
-	// without another try: one that starts again has layers to load first.
-	lostFresh = 500 * time.Millisecond
+	// endedFresh is the same of a refusal: an endpoint that starts again has layers
+	// to load first.
+	endedFresh = 500 * time.Millisecond
 	// knockLate is by how much a knock may end later than its timeout; more means
 	// that this node did not run, so that its result says nothing.
 	knockLate = 15 * time.Millisecond
@@ -48,20 +48,33 @@
 	answer answer
 }
 
+// refused tells whether the try has ended with a refusal.
+func (k *knock) refused() bool {
+	select {
+	case <-k.done:
+		return k.answer == refuses
+	default:
+		return false
+	}
+}
+
 // prober connects to endpoints to learn whether they are there. It is safe for
 // concurrent use.
 type prober struct {
 	knock func(ctx context.Context, address string) error
 	now   func() time.Time
 
+	// late tells whether this process did not run for a while since a moment.
+	late func(since time.Time) bool
+
 	mu     sync.Mutex
 	knocks map[string]*knock
-	// lost is when an address was last found without its endpoint.
-	lost map[string]time.Time
 }
 
-func newProber(f func(ctx context.Context, address string) error, now func() time.Time) *prober {
-	return &prober{knock: f, now: now, knocks: make(map[string]*knock), lost: make(map[string]time.Time)}
+func newProber(
+	f func(ctx context.Context, address string) error, now func() time.Time, late func(since time.Time) bool,
+) *prober {
+	return &prober{knock: f, now: now, late: late, knocks: make(map[string]*knock)}
 }
 
 // gone returns those of the addresses at which no endpoint is. Silence is
@@ -81,29 +94,26 @@
 	believed := counts[unclear] == 0 &&
 		(len(addresses)+heard == 1 || counts[silent] < counts[accepts]+counts[refuses]+heard)
 	var gone []string
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	for i, k := range tries {
 		if k.answer == refuses || (k.answer == silent && believed) {
 			gone = append(gone, addresses[i])
-			p.lost[addresses[i]] = k.began
 		}
 	}
 	return gone
 }
 
-// lately returns those of the addresses that were found without their endpoint
-// a moment ago.
-func (p *prober) lately(addresses []string) []string {
+// knownEnded returns those of the addresses that refused a connection a moment
+// ago.
+func (p *prober) knownEnded(addresses []string) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var gone []string
+	var ended []string
 	for _, address := range addresses {
-		if at, ok := p.lost[address]; ok && p.now().Sub(at) < lostFresh {
-			gone = append(gone, address)
+		if k := p.knocks[address]; k != nil && k.refused() && p.now().Sub(k.began) < endedFresh {
+			ended = append(ended, address)
 		}
 	}
-	return gone
+	return ended
 }
 
 // ended tells whether an address refuses connections, which proves that the
@@ -119,8 +129,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.now()
-	if k := p.knocks[address]; k != nil && now.Sub(k.began) < knockFresh {
-		return k
+	if k := p.knocks[address]; k != nil {
+		age := now.Sub(k.began)
+		if age < knockFresh || (age < endedFresh && k.refused()) {
+			return k
+		}
 	}
 	k := &knock{done: make(chan struct{}), began: now}
 	p.knocks[address] = k
@@ -146,7 +159,7 @@
 		return accepts
 	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
 		return refuses
-	case p.now().Sub(began) > knockTimeout+knockLate:
+	case p.now().Sub(began) > knockTimeout+knockLate, p.late(began):
 		return unclear
 	default:
 		return silent
@@ -158,5 +171,4 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	maps.DeleteFunc(p.knocks, func(address string, _ *knock) bool { return !known[address] })
-	maps.DeleteFunc(p.lost, func(address string, _ time.Time) bool { return !known[address] })
 }
--- a/internal/supervisor/forwarder/prober_test.go
+++ b/internal/supervisor/forwarder/prober_test.go
@@ -43,7 +43,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				p := newProber(func(ctx context.Context, address string) error { return c.all[address](ctx) }, time.Now)
+				p := newProber(func(ctx context.Context, address string) error { return c.all[address](ctx) }, time.Now, never)
 				var addresses []string
 				for address := range c.all {
 					addresses = append(addresses, address)
@@ -57,6 +57,42 @@
 	}
 }
 
+// never is a process that always runs in time.
+func never(time.Time) bool { return false }
+
+// The pattern: this node decodes a large configuration while it tries to connect.
+// Its own pause must not pass for the silence of engines.
+func TestSlowNodeBelievesNoSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, driver.Relay{Knock: func(ctx context.Context, address string) error {
+			if address == "a" {
+				return nil
+			}
+			<-ctx.Done()
+			return ctx.Err()
+		}})
+		m, p := w.f.monitor, w.f.prober
+		for range 5 {
+			m.look(time.Now())
+			time.Sleep(monitorTick)
+		}
+		began := time.Now()
+		if m.ranLate(began) {
+			t.Errorf("got late, want in time")
+		}
+		go func() {
+			time.Sleep(lateTick)
+			m.look(time.Now())
+		}()
+		if got := p.gone([]string{"a", "b"}, 5); len(got) > 0 {
+			t.Errorf("got %v, want none: this node did not run for %v", got, lateTick)
+		}
+		if m.tick(time.Now()) {
+			t.Errorf("silences are judged right after a pause")
+		}
+	})
+}
+
 // The pattern: many streams of a node share engines. One that is late alone has no
 // connections tried along engines from which the others hear.
 func TestUnheard(t *testing.T) {
@@ -84,7 +120,7 @@
 			}
 			<-ctx.Done()
 			return ctx.Err()
-		}, time.Now)
+		}, time.Now, never)
 		if got := p.gone([]string{"a"}, 0); len(got) > 0 {
 			t.Errorf("got %v, want none", got)
 		}
@@ -100,7 +136,7 @@
 			<-ctx.Done()
 			late.Store(int64(60 * time.Millisecond))
 			return ctx.Err()
-		}, func() time.Time { return now.Add(time.Duration(late.Load())) })
+		}, func() time.Time { return now.Add(time.Duration(late.Load())) }, never)
 		if got := p.gone([]string{"a"}, 0); len(got) > 0 {
 			t.Errorf("got %v, want none", got)
 		}
