Count the time to read prompts in a path's cost, and price a stage at 3 ms

Cause: streams of one node that move at the same moment chose engines as if the prompts before them were read in no time; all of them had to be read by the one engine that was cheapest. Change: the configuration's reading speeds are decoded; a node notes until when an engine reads what it was given, and ten milliseconds of that cost one a token.

--- a/internal/mapper/mapper.go
+++ b/internal/mapper/mapper.go
@@ -107,6 +107,10 @@
 	CacheBytes float64
 	// Step is the time of a token's step over all layers at pace 1.
 	Step time.Duration
+	// Read is how many prompt tokens are read over all layers in a millisecond at
+	// pace 1; 0 if it is not known. Chunk is how many are read in one pass.
+	Read  float64
+	Chunk int
 	// LoadsAtOnce is how many loads run before they slow each other down, and
 	// Load the time of loading all layers.
 	LoadsAtOnce int
@@ -125,8 +129,9 @@
 	Name string
 	// MB is the memory for layers and requests.
 	MB float64
-	// Pace multiplies the time of steps.
-	Pace float64
+	// Pace multiplies the time of steps, and ReadPace that of reading.
+	Pace     float64
+	ReadPace float64
 }
 
 // Accelerator returns the kind of a name, and whether there is one.
@@ -148,6 +153,17 @@
 	return int(free / (e.CacheBytes / float64(e.Layers) * float64(layers)))
 }
 
+// ReadTime returns how long an engine that also writes takes to read a number of
+// prompt tokens through some layers: each pass reads a chunk and makes the steps of
+// an event.
+func (e *Engine) ReadTime(a Accelerator, layers, tokens int) time.Duration {
+	if e.Read <= 0 || e.Chunk <= 0 || e.Layers <= 0 {
+		return 0
+	}
+	token := a.ReadPace/e.Read*float64(time.Millisecond) + a.Pace*float64(e.Step)*float64(e.Stride)/float64(e.Chunk)
+	return time.Duration(token * float64(tokens) * float64(layers) / float64(e.Layers))
+}
+
 // Limits bounds what a caller may send; 0 means no limit.
 type Limits struct {
 	HeaderBytes   int
--- a/internal/supervisor/forwarder/assessor/assessor.go
+++ b/internal/supervisor/forwarder/assessor/assessor.go
@@ -29,6 +29,9 @@
 	at time.Time
 	// Doubted is until when the endpoint is avoided.
 	Doubted time.Time
+	// Reading is until when the endpoint reads the prompts that this node has given
+	// it, as far as known.
+	Reading time.Time
 	// Pace is how many times slower than usual the endpoint was when it was
 	// last asked, and Paced when that was. Asked is set if this node asked: what
 	// others told is not told on.
@@ -48,6 +51,12 @@
 	return r.Pace
 }
 
+// Backlog returns how long the endpoint still reads what this node has given it, in
+// milliseconds.
+func (r Record) Backlog(now time.Time) float64 {
+	return max(float64(r.Reading.Sub(now))/float64(time.Millisecond), 0)
+}
+
 // failures returns the failure rate as it counts now.
 func (r Record) failures(now time.Time) float64 {
 	return r.Failures * math.Exp2(-float64(now.Sub(r.at))/float64(forget))
@@ -119,6 +128,18 @@
 	return slow
 }
 
+// Reads takes in that an endpoint was given prompts that take some time to read.
+func (a *Assessor) Reads(id string, d time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.records[id]
+	if now := a.now(); r.Reading.Before(now) {
+		r.Reading = now
+	}
+	r.Reading = r.Reading.Add(d)
+	a.records[id] = r
+}
+
 // Begin counts work at endpoints as in progress until the function returned is
 // called; more than once has no effect.
 func (a *Assessor) Begin(ids []string, tokens int) (end func()) {
--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -82,10 +82,19 @@
 	kind, _ := engine.Accelerator(e.Accelerator)
 	step := float64(engine.Step) * kind.Pace / float64(time.Millisecond)
 	m.holders = append(m.holders, holder{
-		entry: e, room: engine.Room(kind, e.Last-e.First), layer: step / float64(engine.Layers),
+		entry: e, room: engine.Room(kind, e.Last-e.First), layer: step / float64(engine.Layers), kind: kind,
 	})
 }
 
+// holder returns an engine that holds layers.
+func (m *members) holder(id string) (holder, bool) {
+	at := slices.IndexFunc(m.holders, func(h holder) bool { return h.entry.ID == id })
+	if at < 0 {
+		return holder{}, false
+	}
+	return m.holders[at], true
+}
+
 // rank orders the versions by the layers held of them.
 func (m *members) rank() {
 	held := make(map[string]int)
--- a/internal/supervisor/forwarder/generate_test.go
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -244,6 +244,34 @@
 	})
 }
 
+// The pattern: an engine ends whose layers no other of its data centre holds. The
+// streams of one node begin anew over all data centres that are left, as each has
+// only one engine to read the prompts.
+func TestStreamsThatBeginAnewShareTheReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, entries := engines(centres())
+		for range 10 {
+			w := newWorld(t, emulator.New(emulator.Defaults(), all).Relay(), entries...)
+			const streams = 40
+			taken := make(map[string]int)
+			for range streams {
+				c := &call{Request: Request{Prompt: 800}, need: 1000, service: "llm", answered: true, tried: map[string]bool{"a2": true}}
+				path, err := w.f.path(c, "1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.f.reads("llm", path, c.Prompt, 0)
+				taken[path[0].Centre]++
+			}
+			for centre, got := range taken {
+				if want := streams/2 + 2; got > want {
+					t.Errorf("data centre %s reads for %d of %d streams, want at most %d of two", centre, got, streams, want)
+				}
+			}
+		}
+	})
+}
+
 // The pattern: all nodes start again at the same moment, and all callers come back
 // at once. Nodes that don't know of each other don't all choose the fastest engine.
 func TestStartingNodesSpreadTheirStreams(t *testing.T) {
--- a/internal/supervisor/forwarder/move.go
+++ b/internal/supervisor/forwarder/move.go
@@ -136,6 +136,8 @@
 		return false, ""
 	}
 	m.f.cfg.Counters.Stages.Add("repaths", 1)
+	fresh := slices.DeleteFunc(slices.Clone(path), func(p pather.Part) bool { return slices.Contains(state.path, p) })
+	m.f.reads(s.c.service, fresh, s.c.Prompt, state.events)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.cancel == nil {
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"banyanquay/internal/driver"
+	"banyanquay/internal/mapper"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/registrar"
 	"banyanquay/internal/supervisor/forwarder/pather"
@@ -16,7 +17,7 @@
 const (
 	// hopCost is for each engine: the message to it, and the wait for the pass that
 	// it is in, in which it reads prompts beside the steps.
-	hopCost = 1.5
+	hopCost = 3
 	// awayCost is for a path in another data centre: the events cross once. Where
 	// choices are spread, awayBlind more keeps them in the own one.
 	awayCost  = 2
@@ -42,6 +43,10 @@
 	// blind is how strongly choices are spread where the work of other nodes is
 	// not known, against the time of a step on a usual engine.
 	blind = 3
+	// readTokens is by how many tokens' costs the time is outweighed in which an
+	// engine reads what this node has just given it: a stream that waits for it is
+	// late for one event, and a slow path for all.
+	readTokens = 10
 	// noise spreads equal choices, and burst those of streams that all move at
 	// the same moment over the data centres.
 	noise = 0.05
@@ -77,6 +82,7 @@
 	now := f.cfg.Now()
 	centres := make(map[string]float64)
 	spread := blind * unseen * ch.members.usual
+	alike := f.alike()
 	for _, h := range ch.members.holders {
 		if h.entry.Version != ch.version || ch.exclude[h.entry.ID] {
 			continue
@@ -101,6 +107,7 @@
 			First: h.entry.First, Last: h.entry.Last, Hop: hopCost * factor,
 			Layer: (h.layer + spread*rand.ExpFloat64()) * factor * rec.Slowness(now),
 		}
+		backlog := rec.Backlog(now) * alike / readTokens
 		if kept, ok := ch.keeps(h.entry); ok {
 			req.Engines = append(req.Engines, kept.as(engine))
 		}
@@ -108,6 +115,7 @@
 			noise := detourBase + rand.ExpFloat64()
 			engine.Hop, engine.Layer = detourHop*factor*noise, engine.Layer*noise
 		}
+		engine.Hop += backlog
 		req.Engines = append(req.Engines, engine)
 	}
 	return pather.Find(req)
@@ -156,6 +164,28 @@
 	return own + others + own*max(f.cfg.Near()-1-told, 0)
 }
 
+// alike is how many near nodes are taken to do as this one, itself included: those
+// whose work is not known.
+func (f *Forwarder) alike() float64 {
+	_, told := f.cfg.Others("")
+	return float64(1 + max(f.cfg.Near()-1-told, 0))
+}
+
+// reads notes that engines read a stream's prompt, and what it has written, since
+// they are new to its path.
+func (f *Forwarder) reads(service string, parts []pather.Part, prompt, events int) {
+	members, ok := f.members(service)
+	if !ok || !members.layered() {
+		return
+	}
+	tokens := prompt + events*members.service.Engine.Stride
+	for _, p := range parts {
+		if h, ok := members.holder(p.ID); ok {
+			f.assessor.Reads(p.ID, members.service.Engine.ReadTime(h.kind, p.Last-p.First, tokens))
+		}
+	}
+}
+
 // path returns the path of a request's next attempt. Engines in doubt are used
 // only where no others hold the layers.
 func (f *Forwarder) path(c *call, version string) ([]pather.Part, error) {
@@ -243,4 +273,5 @@
 	room int
 	// layer is the time of a token's step of one layer, in milliseconds.
 	layer float64
+	kind  mapper.Accelerator
 }
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -56,6 +56,7 @@
 
 // start begins an attempt along a path.
 func (s *session) start(path []pather.Part, cancel context.CancelCauseFunc) {
+	s.f.reads(s.c.service, path, s.c.Prompt, s.look().events)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.f.cfg.Now()
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -73,7 +73,9 @@
 		Organisations: map[string]mapper.Organisation{secret: {Name: "org"}},
 		Services: []mapper.Service{{Name: "desk"}, {Name: "llm", Engine: &mapper.Engine{
 			Slots: 192, Layers: 80, LayerMB: 1750, CacheBytes: 426000, Step: 850 * time.Microsecond, Stride: 2,
-			Accelerators: []mapper.Accelerator{{Name: "l4", MB: 80000, Pace: 16}, {Name: "fast", MB: 80000, Pace: 8}},
+			Read: 272, Chunk: 512, Accelerators: []mapper.Accelerator{
+				{Name: "l4", MB: 80000, Pace: 16, ReadPace: 8.2}, {Name: "fast", MB: 80000, Pace: 8, ReadPace: 4},
+			},
 		}}},
 	})}
 	changes := make([]registrar.Change, 0, len(entries))
