Place layers while engines keep coming, and while the placing node is cut off

Meanwhile the placing node was cut off from the store for 6 s; the others take the lead only from a node that is gone, and it may order nothing without asking the store. Ruled out: the plan (given the engines, it covers all), loads (orders were not given). Change: the wait is only for a leader's first plan; a holder that can't read who leads has another node read it: fencing is as before. Tests, failing before: TestReleaseIsFollowed (13 of 13 engines without layers after 1.2 s), TestHolderThatIsCutOffFromTheStore.

--- a/internal/supervisor/arranger/arranger.go
+++ b/internal/supervisor/arranger/arranger.go
@@ -23,8 +23,8 @@
 const (
 	// tick is the time between two looks at what is missing.
 	tick = 300 * time.Millisecond
-	// settle is how long an engine's first entry is waited for before the first
-	// plan, so that engines that start together are planned together.
+	// settle is how long an engine's first entry is waited for before a leader's
+	// first plan, so that engines that start together are planned together.
 	settle = 700 * time.Millisecond
 	// roomRequests is for how many usual requests an engine keeps room beside
 	// its layers. A path's engine in a data centre with one holder of each layer
@@ -80,9 +80,11 @@
 	cfg Config
 	// orders are by the engine's ID; they belong to the step's goroutine.
 	orders map[string]order
-	// seen is when the number of endpoints last grew, and count that number.
-	seen  time.Time
-	count int
+	// seen is when the number of endpoints last grew, and count that number. planned
+	// is set once this node has made a plan since it leads.
+	seen    time.Time
+	count   int
+	planned bool
 }
 
 // New returns an arranger.
@@ -114,6 +116,7 @@
 	cfg, table := a.cfg.Configuration(), a.cfg.Endpoints()
 	if cfg == nil || !a.cfg.Leads() {
 		clear(a.orders)
+		a.planned = false
 		return
 	}
 	now := a.cfg.Now()
@@ -121,9 +124,10 @@
 		a.seen = now
 	}
 	a.count = table.Len()
-	if now.Sub(a.seen) < settle {
+	if !a.planned && now.Sub(a.seen) < settle {
 		return
 	}
+	a.planned = true
 	var jobs []job
 	for _, service := range cfg.Services() {
 		if service.Engine != nil && service.Engine.Layers > 0 {
--- a/internal/supervisor/arranger/arranger_test.go
+++ b/internal/supervisor/arranger/arranger_test.go
@@ -149,6 +149,29 @@
 	})
 }
 
+// The pattern: all engines are replaced one after the other, a new one every 0.6 s.
+// None is left without layers for as long as others come.
+func TestReleaseIsFollowed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(22)
+		a := y.arranger()
+		y.run(a, 4*time.Second)
+		for n := range 14 {
+			id, old := fmt.Sprintf("n%02d", n), fmt.Sprintf("e%02d", n)
+			y.entries[id] = registrar.Entry{
+				ID: id, Service: "llm", Address: id, Centre: y.entries[old].Centre, Accelerator: "l4", Model: "m", Version: "1",
+			}
+			y.run(a, 600*time.Millisecond)
+			e := y.entries[old]
+			e.Leaving = true
+			y.entries[old] = e
+			if last := fmt.Sprintf("n%02d", n-1); n > 0 && y.entries[last].Last == 0 {
+				t.Errorf("engine %s has no layers after 1.2 s", last)
+			}
+		}
+	})
+}
+
 func TestFencedArrangerStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		y := newYard(20)
--- a/internal/supervisor/elector/elector.go
+++ b/internal/supervisor/elector/elector.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"banyanquay/internal/encoder"
@@ -27,6 +28,9 @@
 // retryInterval is the time between two calls to a store that fails.
 const retryInterval = time.Second
 
+// answerTimeout bounds a read for another node, which waits for it.
+const answerTimeout = 500 * time.Millisecond
+
 // absence is how long a holder must be missing before another node follows it:
 // longer than links take to come up when all nodes start together.
 const absence = 2500 * time.Millisecond
@@ -41,6 +45,9 @@
 	// Address and Incarnation name this process.
 	Address     string
 	Incarnation string
+	// Elsewhere asks another node for its Answer, while the store doesn't answer this
+	// one.
+	Elsewhere func(ctx context.Context) ([]byte, error)
 	// Alive tells whether a process is alive as far as this node knows.
 	Alive func(address, incarnation string) bool
 	// Next tells whether this node is the one to follow a holder that has
@@ -179,7 +186,9 @@
 func (e *Elector) refresh(ctx context.Context) (lead, error) {
 	items, err := e.cfg.Topics.Newest(ctx, e.cfg.Topic)
 	if err != nil {
-		return lead{}, err
+		if items, err = e.elsewhere(ctx, err); err != nil {
+			return lead{}, err
+		}
 	}
 	l := lead{known: true, end: items.End}
 	for _, it := range items.Items {
@@ -196,6 +205,27 @@
 	return l, nil
 }
 
+// elsewhere lets another node read the topic. What it reads after it was asked is as
+// good as what this node would have read.
+func (e *Elector) elsewhere(ctx context.Context, cause error) (provider.Items, error) {
+	data, err := e.cfg.Elsewhere(ctx)
+	if err != nil {
+		return provider.Items{}, trace.NewAggregate(cause, err)
+	}
+	return encoder.FromCBOR[provider.Items](data)
+}
+
+// Answer reads the topic for another node.
+func (e *Elector) Answer([]byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), answerTimeout)
+	defer cancel()
+	items, err := e.cfg.Topics.Newest(ctx, e.cfg.Topic)
+	if err != nil {
+		return nil, err
+	}
+	return encoder.CBOR(items)
+}
+
 // holds tells whether this process is the holder.
 func (e *Elector) holds(l lead) bool {
 	return l.fence > 0 && l.holder.Address == e.cfg.Address && l.holder.Incarnation == e.cfg.Incarnation
--- a/internal/supervisor/elector/elector_test.go
+++ b/internal/supervisor/elector/elector_test.go
@@ -61,7 +61,9 @@
 		name := fmt.Sprint("n", i)
 		f.set(name, true)
 		e := New(Config{
-			Topics: s.Topics(), Address: name, Incarnation: "1", Now: time.Now, Recorder: recorder.Nop(),
+			Topics:    s.Topics(),
+			Elsewhere: func(context.Context) ([]byte, error) { return nil, trace.ConnectionProblem(nil, "nobody answers") },
+			Address:   name, Incarnation: "1", Now: time.Now, Recorder: recorder.Nop(),
 			Alive: func(address, _ string) bool {
 				f.mu.Lock()
 				defer f.mu.Unlock()
@@ -173,6 +175,32 @@
 	})
 }
 
+// The pattern: the holder is cut off from the store, and the other nodes are not.
+// It goes on leading with what they read for it, and learns from them that it
+// doesn't any more.
+func TestHolderThatIsCutOffFromTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &store{}
+		f := newFleet(t, s, 3)
+		time.Sleep(5 * time.Second)
+		old := f.leaders()[0]
+		holder, other := f.all[old], f.all[(old+1)%3]
+		holder.cfg.Topics.Newest = func(context.Context, string) (provider.Items, error) {
+			return provider.Items{}, trace.ConnectionProblem(nil, "cut off")
+		}
+		holder.cfg.Elsewhere = func(context.Context) ([]byte, error) { return other.Answer(nil) }
+		if _, ok := holder.Confirm(t.Context()); !ok {
+			t.Errorf("the holder doesn't lead while another node reads the store for it")
+		}
+		if err := other.take(t.Context(), other.current()); err != nil {
+			t.Fatal(err)
+		}
+		if _, ok := holder.Confirm(t.Context()); ok {
+			t.Errorf("the holder leads though another node has taken the lead")
+		}
+	})
+}
+
 func TestFencedHolderAsksAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &store{}
--- a/internal/supervisor/linker/linker.go
+++ b/internal/supervisor/linker/linker.go
@@ -48,6 +48,7 @@
 	Drains Subject = iota + 1
 	Ledger
 	Store
+	Lead
 )
 
 // Linker holds the links of one node.
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/gravitational/trace"
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 	"go.uber.org/zap"
@@ -61,6 +62,10 @@
 	// otherReaders is of how many other data centres the reading nodes are asked
 	// while the own one's doesn't answer.
 	otherReaders = 2
+	// leadPeers is how many nodes are asked to read who leads, and leadTimeout bounds
+	// each question: a call to the store and a connection.
+	leadPeers   = 3
+	leadTimeout = 700 * time.Millisecond
 	// fewNodes is up to how many nodes tell each other their loads: a node has
 	// links with some eight others.
 	fewNodes = 16
@@ -213,10 +218,11 @@
 func (r *relay) placing() {
 	p := r.cfg.Platform
 	r.elector = elector.New(elector.Config{
-		Topics: p.Topics, Topic: p.LeadTopic, Address: r.cfg.Settings.Address,
+		Topics: p.Topics, Topic: p.LeadTopic, Elsewhere: r.leadElsewhere, Address: r.cfg.Settings.Address,
 		Incarnation: r.identity.incarnation, Alive: r.alive, Next: r.next,
 		Now: r.clock.Now, Recorder: r.recorder,
 	})
+	r.linker.Answer(linker.Lead, r.elector.Answer)
 	r.arranger = arranger.New(arranger.Config{
 		Configuration: func() *mapper.Configuration { return r.syncer.View().Configuration },
 		Endpoints:     r.syncer.Table, Report: p.Relay.Report, Place: p.Relay.Place,
@@ -356,6 +362,22 @@
 	return false
 }
 
+// leadElsewhere asks other nodes who leads, one after the other.
+func (r *relay) leadElsewhere(ctx context.Context) ([]byte, error) {
+	var err error = trace.NotFound("no other node is known")
+	peers := r.peers()
+	for _, address := range peers[:min(len(peers), leadPeers)] {
+		asked, cancel := context.WithTimeout(ctx, leadTimeout)
+		data, failed := r.linker.Ask(asked, address, linker.Lead, nil)
+		cancel()
+		if failed == nil {
+			return data, nil
+		}
+		err = failed
+	}
+	return nil, err
+}
+
 // next tells whether this node follows a holder of the lead that has ended.
 func (r *relay) next() bool {
 	var live []string
