Soak real nodes under random faults from outside

Change: cmd/soak and internal/soaker: proxies before the store of each node and before each endpoint delay, reset, cut one way or silence connections; processes are killed, paused, stopped, restarted and told to read settings again; the store fails, loses answers and forgets history; a key is taken away. Checked from what callers with kept connections and the plain service see: whole answers, streams once and in order, one run of a booking, true refusals, a key that stops working within 5 s, no process that ends by itself, 95 in 100 served 6 s after the last fault. Seeds give the same faults. Each check has a test that breaks it. Not covered: clocks (they can't be set by signals), links between nodes, leaving endpoints.

--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,79 @@
+// Command soak runs nodes as processes on loopback, harms them at random, and
+// checks their promises. It is never shipped.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+	"github.com/gravitational/trace"
+
+	"banyanquay/internal/soaker"
+)
+
+// args are the command line.
+type args struct {
+	Daemon  string        `arg:"--daemon,required" help:"program of a node"`
+	Dir     string        `arg:"--dir,required" help:"directory for settings and logs; a seed without a fault leaves nothing there"`
+	Seed    uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds   int           `arg:"--seeds" default:"1" help:"how many seeds, one after the other"`
+	Time    time.Duration `arg:"--time" default:"20s" help:"how long faults come in each run"`
+	Nodes   int           `arg:"--nodes" default:"5" help:"nodes"`
+	Engines int           `arg:"--engines" default:"4" help:"engines of each of three data centres"`
+	Callers int           `arg:"--callers" default:"12" help:"callers, each with one request at a time"`
+	Port    int           `arg:"--port" default:"19400" help:"first of some hundred ports"`
+	Only    []string      `arg:"--only,separate" help:"kind of fault; repeatable, all if there is none"`
+}
+
+func main() {
+	var a args
+	arg.MustParse(&a)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := a.run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
+
+// run runs the seeds.
+func (a args) run(ctx context.Context) error {
+	only, err := soaker.Kinds(a.Only)
+	if err != nil {
+		return err
+	}
+	failed := 0
+	for i := range a.Seeds {
+		seed := a.Seed + uint64(i)
+		dir := filepath.Join(a.Dir, fmt.Sprintf("seed%d", seed))
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		report, err := soaker.Run(ctx, soaker.Config{
+			Daemon: a.Daemon, Dir: dir, Seed: seed, Time: a.Time, Nodes: a.Nodes, Engines: a.Engines,
+			Callers: a.Callers, Port: a.Port, Only: only,
+		})
+		if err != nil {
+			return trace.Wrap(err, "seed %d", seed)
+		}
+		fmt.Printf("seed %d: %d nodes, %s\n", seed, a.Nodes, report.Summary())
+		if len(report.Broken) > 0 {
+			failed++
+			fmt.Printf("%s  logs: %s\n", report.Details(), dir)
+			continue
+		}
+		if err := os.RemoveAll(dir); err != nil {
+			return trace.ConvertSystemError(err)
+		}
+	}
+	if failed > 0 {
+		return trace.BadParameter("%d of %d seeds broke a promise", failed, a.Seeds)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soaker/proxier/proxier_test.go
@@ -0,0 +1,137 @@
+package proxier
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo serves a listener that sends back what it gets, and counts the bytes.
+func echo(t *testing.T) (address string, got func() int) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	bytes := make(chan int, 100)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				buf := make([]byte, chunk)
+				for {
+					n, err := conn.Read(buf)
+					if err != nil {
+						return
+					}
+					bytes <- n
+					_, _ = conn.Write(buf[:n])
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String(), func() int {
+		select {
+		case n := <-bytes:
+			return n
+		case <-time.After(200 * time.Millisecond):
+			return 0
+		}
+	}
+}
+
+// start runs a proxy before an address.
+func start(t *testing.T, target string) *Proxy {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := New(ln.Addr().String(), target)
+	_ = ln.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- p.Step().Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	var conn net.Conn
+	var err error
+	for range 50 {
+		if conn, err = net.Dial("tcp", p.Address()); err == nil {
+			t.Cleanup(func() { conn.Close() })
+			return conn
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal(err)
+	return nil
+}
+
+func TestModes(t *testing.T) {
+	cases := []struct {
+		mode Mode
+		// arrives and returns tell whether a word gets to the target, and back.
+		arrives, returns bool
+	}{
+		{Pass, true, true}, {Delay, true, true}, {Deaf, false, false}, {Mute, true, false}, {Silent, false, false},
+	}
+	for _, c := range cases {
+		t.Run(c.mode.String(), func(t *testing.T) {
+			target, got := echo(t)
+			p := start(t, target)
+			conn := dial(t, p)
+			p.Set(c.mode, 20*time.Millisecond)
+			if _, err := conn.Write([]byte("word")); err != nil {
+				t.Fatal(err)
+			}
+			if arrived := got() > 0; arrived != c.arrives {
+				t.Errorf("arrived: got %v, want %v", arrived, c.arrives)
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+			n, _ := conn.Read(make([]byte, 10))
+			if returned := n > 0; returned != c.returns {
+				t.Errorf("returned: got %v, want %v", returned, c.returns)
+			}
+			p.Set(Pass, 0)
+			if c.returns {
+				return
+			}
+			// Bytes are missing on this connection: it must not go on.
+			_, _ = conn.Write([]byte("more"))
+			_ = conn.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+			if n, _ := conn.Read(make([]byte, 10)); n > 0 {
+				t.Errorf("a connection that lost bytes went on")
+			}
+		})
+	}
+}
+
+func TestReset(t *testing.T) {
+	target, _ := echo(t)
+	p := start(t, target)
+	conn := dial(t, p)
+	if _, err := conn.Write([]byte("word")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(conn, make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	p.Set(Reset, 0)
+	_ = conn.SetReadDeadline(time.Now().Add(time.Second))
+	if _, err := conn.Read(make([]byte, 1)); err == nil {
+		t.Errorf("an open connection was not reset")
+	}
+}
--- /dev/null
+++ b/internal/soaker/scheduler/scheduler_test.go
@@ -0,0 +1,49 @@
+package scheduler
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestDraw(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Config{
+			Seed: rapid.Uint64().Draw(t, "seed"), Time: time.Duration(rapid.IntRange(1, 60).Draw(t, "time")) * time.Second,
+			Nodes: rapid.IntRange(1, 40).Draw(t, "nodes"), Endpoints: rapid.IntRange(1, 90).Draw(t, "endpoints"),
+		}
+		faults := Draw(cfg)
+		if !slices.Equal(faults, Draw(cfg)) {
+			t.Fatalf("a seed gives different faults")
+		}
+		revoked := time.Duration(0)
+		for _, f := range faults {
+			if f.At < 0 || f.For <= 0 || f.At+f.For > cfg.Time {
+				t.Fatalf("%v is not within %v", f, cfg.Time)
+			}
+			if f.Target >= max(cfg.Nodes, cfg.Endpoints) {
+				t.Fatalf("%v has no target", f)
+			}
+			if f.Kind == Revoke && f.At < revoked {
+				t.Fatalf("%v: a key is taken away that is away", f)
+			}
+			if f.Kind == Revoke {
+				revoked = f.At + f.For
+			}
+		}
+	})
+}
+
+func TestKindsAreAllDrawn(t *testing.T) {
+	drawn := make(map[Kind]bool)
+	for seed := range uint64(40) {
+		for _, f := range Draw(Config{Seed: seed, Time: 20 * time.Second, Nodes: 5, Endpoints: 9}) {
+			drawn[f.Kind] = true
+		}
+	}
+	if got, want := len(drawn), kinds; got != want {
+		t.Errorf("kinds: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/internal/soaker/spawner/spawner.go
@@ -0,0 +1,138 @@
+// Package spawner runs programs as processes of their own, signals them by their
+// IDs, and notices those that end by themselves.
+package spawner
+
+import (
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gravitational/trace"
+)
+
+// Config says what to run.
+type Config struct {
+	// Name is that of the process in reports.
+	Name string
+	// Program and Args are the command.
+	Program string
+	Args    []string
+	// Log is the file to which its output is appended.
+	Log string
+}
+
+// Process is a program that is started anew each time it has ended. It is safe for
+// concurrent use.
+type Process struct {
+	cfg Config
+
+	mu sync.Mutex
+	// cmd is nil while nothing runs, and done is closed when it has ended.
+	cmd  *exec.Cmd
+	done chan struct{}
+	// told is set once the process was signalled to end.
+	told bool
+	// paused is set while it is stopped by a signal.
+	paused bool
+	// faults are ends that nobody asked for.
+	faults []string
+}
+
+// New returns a process that is not started yet.
+func New(cfg Config) *Process { return &Process{cfg: cfg} }
+
+// Name is that of the process.
+func (p *Process) Name() string { return p.cfg.Name }
+
+// Start starts the program if it doesn't run.
+func (p *Process) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd != nil {
+		return nil
+	}
+	out, err := os.OpenFile(p.cfg.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return trace.ConvertSystemError(err)
+	}
+	defer func() { _ = out.Close() }()
+	cmd := exec.Command(p.cfg.Program, p.cfg.Args...)
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return trace.Wrap(err, "starting %s", p.cfg.Name)
+	}
+	p.cmd, p.told, p.paused, p.done = cmd, false, false, make(chan struct{})
+	go p.wait(cmd, p.done)
+	return nil
+}
+
+// wait takes in the process's end.
+func (p *Process) wait(cmd *exec.Cmd, done chan struct{}) {
+	err := cmd.Wait()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer close(done)
+	if !p.told {
+		p.faults = append(p.faults, p.cfg.Name+" ended by itself: "+cmd.ProcessState.String())
+	} else if err != nil && cmd.ProcessState.Exited() {
+		p.faults = append(p.faults, p.cfg.Name+" ended with a failure: "+cmd.ProcessState.String())
+	}
+	p.cmd = nil
+}
+
+// Signal sends a signal to the process, if it runs.
+func (p *Process) Signal(sig syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return
+	}
+	switch sig {
+	case syscall.SIGKILL, syscall.SIGTERM:
+		p.told = true
+	case syscall.SIGSTOP:
+		p.paused = true
+	case syscall.SIGCONT:
+		p.paused = false
+	}
+	_ = p.cmd.Process.Signal(sig)
+}
+
+// Running tells whether the process runs and is not paused.
+func (p *Process) Running() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd != nil && !p.paused
+}
+
+// Await waits for the process's end and tells whether it came in time.
+func (p *Process) Await(d time.Duration) bool {
+	p.mu.Lock()
+	done, runs := p.done, p.cmd != nil
+	p.mu.Unlock()
+	if !runs {
+		return true
+	}
+	select {
+	case <-done:
+		return true
+	case <-time.After(d):
+		return false
+	}
+}
+
+// End ends the process for good.
+func (p *Process) End() {
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGKILL)
+	p.Await(time.Second)
+}
+
+// Faults returns the ends that nobody asked for, and failures.
+func (p *Process) Faults() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.faults...)
+}
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
-	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
 	"banyanquay/internal/grouper"
-	"banyanquay/internal/recorder"
-	"banyanquay/internal/supervisor/forwarder/pather"
 )
 
 const (
@@ -207,37 +202,6 @@
 	return min(max(time.Duration(stallFactor*float64(s.interval)), leastPatience), mostPatience)
 }
 
-// abandon looks at once into the streams whose path has an engine that is gone.
-// Their own silence would tell it later.
-func (m *monitor) abandon(address string) {
-	ended := m.f.prober.ended(address)
-	m.mu.Lock()
-	var found []*session
-	for s := range m.sessions {
-		if s.abandon(address, ended) {
-			found = append(found, s)
-		}
-	}
-	m.mu.Unlock()
-	for _, s := range found {
-		go m.rescue(s)
-	}
-}
-
-// abandon marks a stream to look into if its path has an engine that has ended.
-// One whose engine may be silent only here is looked into after a shorter
-// silence.
-func (s *session) abandon(address string, ended bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	uses := slices.ContainsFunc(s.path, func(p pather.Part) bool { return p.Address == address })
-	if s.cancel == nil || s.rescuing || !uses {
-		return false
-	}
-	s.hurried, s.rescuing = true, ended
-	return ended
-}
-
 // unclaim lets a stream be looked into again later.
 func (s *session) unclaim() {
 	s.mu.Lock()
@@ -248,32 +212,6 @@
 	s.looked++
 }
 
-// rescue finds out what a stream waits for and moves it.
-func (m *monitor) rescue(s *session) {
-	defer s.unclaim()
-	state := s.look()
-	if state.cancel == nil || len(state.path) == 0 {
-		return
-	}
-	silence := m.f.cfg.Now().Sub(state.last)
-	bad := m.suspects(s, state, silence)
-	now := s.look()
-	if now.cancel == nil || (now.last != state.last && !m.ended(now.path, bad)) {
-		return // it ended, or went on
-	}
-	if len(bad) == 0 && silence < moveAfter {
-		return
-	}
-	if m.onlySlow(state.path, bad) && !tooSlow(state, silence) {
-		return
-	}
-	m.f.cfg.Counters.Stages.Add("stalls", 1)
-	m.f.cfg.Recorder.Info(recorder.StreamStalled,
-		zap.String("request", s.c.ID), zap.Strings("path", addresses(state.path)), zap.Strings("suspects", bad),
-		zap.Duration("silence", silence), zap.Duration("interval", state.interval), zap.Int("events", state.events))
-	m.move(s, now, bad)
-}
-
 // allow tells whether this node may look into one more stream: all nodes
 // together do so at a bounded rate, so that an overload isn't fed by questions.
 func (m *monitor) allow(l *rate.Limiter, rounds float64) bool {
@@ -282,133 +220,3 @@
 	l.SetBurst(max(int(part*roundBurst), 2))
 	return l.Allow()
 }
-
-// onlySlow tells whether the engines at fault answer, and are just slow.
-func (m *monitor) onlySlow(path []pather.Part, bad []string) bool {
-	for _, p := range path {
-		if slices.Contains(bad, p.Address) && m.f.assessor.Doubtful(p.ID) {
-			return false
-		}
-	}
-	return len(bad) > 0
-}
-
-// tooSlow tells whether a slow stream is better begun anew: it would otherwise
-// be late for its first event, or lose its caller.
-func tooSlow(state snapshot, silence time.Duration) bool {
-	if state.events == 0 {
-		return silence > slowFirst
-	}
-	return silence > slowNext
-}
-
-// ended tells whether an engine of a path that is at fault has ended, so that no
-// event can come along the path any more.
-func (m *monitor) ended(path []pather.Part, bad []string) bool {
-	return slices.ContainsFunc(path, func(p pather.Part) bool {
-		return slices.Contains(bad, p.Address) && m.f.prober.ended(p.Address)
-	})
-}
-
-// unheard returns the addresses of a path's engines but those along which
-// another stream has just had an event.
-func (m *monitor) unheard(s *session, path []pather.Part) []string {
-	now := m.f.cfg.Now()
-	heard := make(map[string]bool)
-	m.mu.Lock()
-	for other := range m.sessions {
-		if state := other.look(); other != s && state.current > 0 && now.Sub(state.last) < heardFresh {
-			for _, p := range state.path {
-				heard[p.Address] = true
-			}
-		}
-	}
-	m.mu.Unlock()
-	return slices.DeleteFunc(addresses(path), func(address string) bool { return heard[address] })
-}
-
-// suspects returns the addresses on a stream's path that are at fault.
-func (m *monitor) suspects(s *session, state snapshot, silence time.Duration) []string {
-	ended := m.f.prober.knownEnded(addresses(state.path))
-	if !m.allow(m.knocks, knockRounds) {
-		return ended
-	}
-	unheard := m.unheard(s, state.path)
-	bad := m.f.prober.gone(unheard, len(state.path)-len(unheard))
-	for _, address := range ended {
-		if !slices.Contains(bad, address) {
-			bad = append(bad, address)
-		}
-	}
-	for _, p := range state.path {
-		if slices.Contains(bad, p.Address) {
-			m.f.doubt(p.ID, p.Address, silentTime, whySilent)
-		}
-	}
-	if len(bad) > 0 || (silence < askAfter && state.looked < lookedOften) {
-		return bad
-	}
-	if !m.allow(m.asks, reportRounds) {
-		return nil
-	}
-	reports := m.reports.reports(state.path)
-	for _, p := range state.path {
-		if pace := reports[p.ID].Pace; pace > slowPace {
-			if m.f.slow(p.ID, p.Address, pace, true) {
-				go m.survey(s.c.service)
-			}
-			bad = append(bad, p.Address)
-		}
-	}
-	if address, ok := reports[state.first().ID].Stalled[s.c.ID]; ok {
-		for _, p := range state.path {
-			if p.Address == address {
-				m.f.doubt(p.ID, address, stalledTime, "stalled")
-				return []string{address}
-			}
-		}
-	}
-	return bad
-}
-
-// doubt lets an engine be avoided for a while. That it is gone is news even of one
-// that is avoided already for another reason.
-func (f *Forwarder) doubt(id, address string, d time.Duration, why string) {
-	gone := why == whySilent && f.monitor.news(address)
-	if gone || !f.assessor.Doubtful(id) {
-		f.cfg.Counters.Stages.Add("doubts_"+why, 1)
-		f.cfg.Recorder.Info(recorder.EndpointDoubted,
-			zap.String("endpoint", id), zap.String("address", address), zap.String("why", why), zap.Duration("for", d))
-	}
-	f.assessor.Doubt(id, d)
-	if gone {
-		f.cfg.Silent(id)
-		f.monitor.abandon(address)
-	}
-}
-
-// news takes in that an engine was found gone, and tells whether that was not
-// known.
-func (m *monitor) news(address string) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	known := m.knows(address)
-	m.gone[address] = m.f.cfg.Now()
-	return !known
-}
-
-// knows tells whether an engine was found gone of late. It needs the lock.
-func (m *monitor) knows(address string) bool {
-	at, ok := m.gone[address]
-	return ok && m.f.cfg.Now().Sub(at) < silentTime
-}
-
-// keep forgets the engines that are gone for good.
-func (m *monitor) keep(known map[string]bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	maps.DeleteFunc(m.gone, func(address string, _ time.Time) bool { return !known[address] })
-}
-
-// whySilent is the reason of a doubt that the other nodes are told of.
-const whySilent = "silent"
