--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -14,7 +14,9 @@
 	// Retries counts retries by reason.
 	Retries *expvar.Map `expvar:"banyanquay.retries"`
 	// Stages counts replaced stages by how their caches were rebuilt, and
-	// imports of caches that failed by what failed.
+	// imports of caches that failed by what failed; before relaying endpoints
+	// stalls, changed paths, doubts by reason, and looks that came late since this
+	// process did not run (late_ticks).
 	Stages *expvar.Map `expvar:"banyanquay.stages"`
 	// Requests counts requests by how they ended.
 	Requests *expvar.Map `expvar:"banyanquay.requests"`
