Move streams off engines that leave, and lay data centres out anew only if gaps last

When an engine left, the data centre was laid out anew at once: seven engines changed their layers, each out of service for 8 to 12 s, as it first waited for the streams that it had. The engine that replaced the one that left came half a second later. TestReleaseMovesNoOtherEngine counts 35 orders for five replaced engines. Ruled out: loads (1.6 s of the 8 to 12), room (the refusals came after). Change: a data centre is laid out anew once it has lacked layers for 6 s; streams move off an engine that leaves or gives up its layers, each right after an event, at most 25 a second and node, so that it is free sooner and its end cuts no stream. Tests, failing before: TestReleaseMovesNoOtherEngine, TestStreamsLeaveAnEngineThatLeaves (5 stalls at the engine's end, 121 ms); TestLastingGapIsClosed.

--- a/internal/supervisor/arranger/arranger.go
+++ b/internal/supervisor/arranger/arranger.go
@@ -6,7 +6,9 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +46,10 @@
 	// engine that refused one, or did not answer.
 	refusedTime    = time.Second
 	unansweredTime = tick
+	// tilePatience is how long a data centre lacks layers before it is laid out anew.
+	// Engines that restart or are replaced are back by then; one that changes its
+	// layers is out of service for the streams that it still has, and for the load.
+	tilePatience = 6 * time.Second
 	// parallel bounds the orders on their way.
 	parallel = 16
 )
@@ -85,11 +91,13 @@
 	seen    time.Time
 	count   int
 	planned bool
+	// lacking is since when data centres lack layers.
+	lacking map[string]time.Time
 }
 
 // New returns an arranger.
 func New(cfg Config) *Arranger {
-	return &Arranger{cfg: cfg, orders: make(map[string]order)}
+	return &Arranger{cfg: cfg, orders: make(map[string]order), lacking: make(map[string]time.Time)}
 }
 
 // Step orders engines until its context ends.
@@ -157,7 +165,7 @@
 		holders = append(holders, a.holder(now, engine, e))
 	}
 	var jobs []job
-	for _, r := range Plan(engine.Layers, holders) {
+	for _, r := range Plan(engine.Layers, holders, a.lasting(now, engine.Layers, holders)) {
 		part := float64(r.Last-r.First) / float64(engine.Layers)
 		load := time.Duration(part * float64(engine.Load))
 		jobs = append(jobs, job{entry: entries[r.ID], rng: r, load: load, atOnce: engine.LoadsAtOnce})
@@ -165,6 +173,22 @@
 	return jobs
 }
 
+// lasting notes which data centres lack layers, and tells of those that have done so
+// for long.
+func (a *Arranger) lasting(now time.Time, layers int, holders []Holder) func(centre string) bool {
+	lacking := Lacking(layers, holders)
+	maps.DeleteFunc(a.lacking, func(centre string, _ time.Time) bool { return !slices.Contains(lacking, centre) })
+	for _, centre := range lacking {
+		if _, ok := a.lacking[centre]; !ok {
+			a.lacking[centre] = now
+		}
+	}
+	return func(centre string) bool {
+		since, ok := a.lacking[centre]
+		return ok && now.Sub(since) >= tilePatience
+	}
+}
+
 // holder returns an engine as the plan sees it. One that was given an order
 // counts as holding the range until the order is reported or given up.
 func (a *Arranger) holder(now time.Time, engine *mapper.Engine, e registrar.Entry) Holder {
--- a/internal/supervisor/arranger/arranger_test.go
+++ b/internal/supervisor/arranger/arranger_test.go
@@ -172,6 +172,52 @@
 	})
 }
 
+// The pattern: engines of a data centre that holds hardly more than one copy are
+// replaced one after the other, each new one half a second after its predecessor
+// begins to leave. The gap is left to it; the engines beside it keep their layers,
+// as a change takes them out of service for seconds.
+func TestReleaseMovesNoOtherEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(18)
+		a := y.arranger()
+		y.run(a, 4*time.Second)
+		sent := y.sent
+		const replaced = 5
+		for n := range replaced {
+			id, old := fmt.Sprintf("n%02d", n), fmt.Sprintf("e%02d", 2*n)
+			e := y.entries[old]
+			e.Leaving = true
+			y.entries[old] = e
+			y.run(a, 600*time.Millisecond)
+			y.entries[id] = registrar.Entry{
+				ID: id, Service: "llm", Address: id, Centre: e.Centre, Accelerator: "l4", Model: "m", Version: "1",
+			}
+			y.run(a, 600*time.Millisecond)
+		}
+		if got, want := y.sent-sent, replaced; got > want {
+			t.Errorf("orders: got %d, want %d, one to each new engine", got, want)
+		}
+		if got, want := y.uncovered("a"), 0; got != want {
+			t.Errorf("after the release: got %d layers without a holder, want %d", got, want)
+		}
+	})
+}
+
+// The pattern: an engine of such a data centre is lost for good. The others close the
+// gap after a while.
+func TestLastingGapIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		y := newYard(18)
+		a := y.arranger()
+		y.run(a, 4*time.Second)
+		delete(y.entries, "e00")
+		y.run(a, tilePatience+2*time.Second)
+		if got, want := y.uncovered("a"), 0; got != want {
+			t.Errorf("got %d layers without a holder, want %d", got, want)
+		}
+	})
+}
+
 func TestFencedArrangerStops(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		y := newYard(20)
--- a/internal/supervisor/arranger/plan.go
+++ b/internal/supervisor/arranger/plan.go
@@ -87,8 +87,9 @@
 
 // Plan returns the ranges to order: for each empty engine the range that adds
 // most, and for an engine whose layers others hold too, a range that nobody in
-// its data centre holds, if no empty one is left for that.
-func Plan(layers int, holders []Holder) []Range {
+// its data centre holds, if no empty one is left for that. The data centres that
+// anew tells are laid out anew if nothing else closes their gaps.
+func Plan(layers int, holders []Holder, anew func(centre string) bool) []Range {
 	if layers <= 0 {
 		return nil
 	}
@@ -101,14 +102,26 @@
 		ranges = append(ranges, r)
 	}
 	ranges = append(ranges, p.moves(holders)...)
-	return append(ranges, p.tiles(holders, ranges)...)
+	return append(ranges, p.tiles(holders, ranges, anew)...)
+}
+
+// Lacking lists the data centres in which a layer has no holder.
+func Lacking(layers int, holders []Holder) []string {
+	p := newPlan(layers, holders)
+	var centres []string
+	for centre, held := range p.centres {
+		if slices.Contains(held, 0) {
+			centres = append(centres, centre)
+		}
+	}
+	return centres
 }
 
 // tiles lays out anew the data centres in which a layer has no holder still.
-func (p *plan) tiles(holders []Holder, given []Range) []Range {
+func (p *plan) tiles(holders []Holder, given []Range, anew func(centre string) bool) []Range {
 	var ranges []Range
 	for _, centre := range slices.Sorted(maps.Keys(p.centres)) {
-		if !slices.Contains(p.centres[centre], 0) {
+		if !slices.Contains(p.centres[centre], 0) || !anew(centre) {
 			continue
 		}
 		var engines []Holder
--- a/internal/supervisor/arranger/plan_test.go
+++ b/internal/supervisor/arranger/plan_test.go
@@ -69,7 +69,7 @@
 
 func TestPlanHoldsAllLayersInEachCentre(t *testing.T) {
 	holders := three()
-	holders = apply(holders, Plan(80, holders))
+	holders = apply(holders, Plan(80, holders, always))
 	for _, centre := range []string{"a", "b", "c"} {
 		if got, want := gaps(80, centre, holders), 0; got != want {
 			t.Errorf("layers without a holder in %s: got %d, want %d", centre, got, want)
@@ -80,7 +80,7 @@
 			t.Errorf("%s: got %d layers, want at most %d", h.ID, got, want)
 		}
 	}
-	if got := Plan(80, holders); len(got) > 0 {
+	if got := Plan(80, holders, always); len(got) > 0 {
 		t.Errorf("plan of what is held already: got %v, want none", got)
 	}
 }
@@ -89,10 +89,10 @@
 // others must hold its layers within the memory that they have.
 func TestPlanRepairsAnyLoss(t *testing.T) {
 	holders := three()
-	holders = apply(holders, Plan(80, holders))
+	holders = apply(holders, Plan(80, holders, always))
 	for _, lost := range holders {
 		left := without(holders, lost.ID)
-		ranges := Plan(80, left)
+		ranges := Plan(80, left, always)
 		after := apply(left, ranges)
 		if got, want := gaps(80, lost.Centre, after), 0; got != want {
 			t.Errorf("without %s (%d to %d): got %d layers without a holder, want %d; ordered %v",
@@ -108,12 +108,15 @@
 
 func TestPlanLeavesFixedEnginesAlone(t *testing.T) {
 	holders := three()
-	holders = apply(holders, Plan(80, holders))
+	holders = apply(holders, Plan(80, holders, always))
 	left := without(holders, "c-big-0")
 	for i := range left {
 		left[i].Fixed = left[i].Centre == "c"
 	}
-	if got := Plan(80, left); len(got) > 0 {
+	if got := Plan(80, left, always); len(got) > 0 {
 		t.Errorf("got %v, want no order while each engine has one in progress", got)
 	}
 }
+
+// always lets any data centre be laid out anew.
+func always(string) bool { return true }
--- a/internal/supervisor/forwarder/generate_test.go
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -146,6 +146,47 @@
 	}
 }
 
+// The pattern: an engine is taken away as planned: it says that it leaves, goes on
+// for two seconds, and ends. Streams that last longer have moved by then.
+func TestStreamsLeaveAnEngineThatLeaves(t *testing.T) {
+	for _, gives := range []bool{false, true} {
+		t.Run(fmt.Sprintf("gives up its layers %v", gives), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all, entries := engines(centres())
+				e := emulator.New(emulator.Defaults(), all)
+				w := newWorld(t, e.Relay(), entries...)
+				answers := w.run(t, 12, func() {
+					for _, entry := range entries {
+						if entry.ID != "a1" {
+							continue
+						}
+						entry.Leaving = !gives
+						if gives {
+							entry.First, entry.Last = 0, 0
+						}
+						w.mu.Lock()
+						w.table = w.table.With(time.Now(), time.Now(), []registrar.Change{{ID: "a1", Entry: &entry}})
+						w.mu.Unlock()
+					}
+					time.Sleep(time.Second)
+					e.Kill("a1:1", false)
+				})
+				for n, a := range answers {
+					if fault := check(a, fmt.Sprintf("r%d", n), 100); fault != "" {
+						t.Errorf("stream %d: %s", n, fault)
+					}
+				}
+				if got := w.counters.Stages.Get("stalls"); got != nil {
+					t.Errorf("stalls at the engine's end: got %v, want none", got)
+				}
+				if got, want := longest(w), 100*time.Millisecond; got > want {
+					t.Errorf("longest pause: got %v, want at most %v", got, want)
+				}
+			})
+		})
+	}
+}
+
 // The pattern: another node finds first that an engine has ended. The streams of
 // this one don't wait for their own silence to tell.
 func TestStreamsLeaveAnEngineThatOthersFindGone(t *testing.T) {
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -82,6 +82,8 @@
 	// surveyed is when all engines were last asked for their pace.
 	surveyed time.Time
 	sessions map[*session]bool
+	// evacuated is when a stream was last marked to move off an engine that leaves.
+	evacuated time.Time
 	// gone is when engines were last found gone, by address.
 	gone map[string]time.Time
 }
@@ -139,6 +141,7 @@
 	for _, s := range m.stalled(now) {
 		go m.rescue(s)
 	}
+	m.evacuate(now)
 }
 
 // tick takes in that a look is made, and tells whether silences may be judged: not
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -38,6 +38,10 @@
 	// hurried is set while an engine of the path is taken for silent: the stream
 	// is looked into sooner. The next event ends it.
 	hurried bool
+	// toMove is set until the next event, after which the stream is moved off an
+	// engine that leaves, and evacuations counts these moves.
+	toMove      bool
+	evacuations int
 	// looks counts the looks since the last event, and looked those of the
 	// attempt.
 	looks  int
@@ -117,6 +121,10 @@
 	s.events++
 	s.current++
 	s.looks, s.next, s.hurried = 0, now, false
+	if s.toMove && !s.rescuing {
+		s.toMove, s.rescuing = false, true
+		go s.f.monitor.moveOff(s)
+	}
 }
 
 // snapshot is a session's state at one moment. It is an immutable value.
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -91,6 +91,8 @@
 			return w.view
 		},
 		Endpoints: func() *registrar.Table {
+			w.mu.Lock()
+			defer w.mu.Unlock()
 			table := w.table
 			return &table
 		},
