--- a/internal/soaker/auditor/auditor.go
+++ b/internal/soaker/auditor/auditor.go
@@ -135,6 +135,21 @@
 	return served, len(a.requests)
 }
 
+// Ends counts the requests by kind and by how they ended, in words.
+func (a *Auditor) Ends() map[string]int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ends := make(map[string]int)
+	for _, r := range a.requests {
+		end := fmt.Sprint(r.Status)
+		if r.Status == 0 {
+			end = "no whole answer"
+		}
+		ends[r.Kind.String()+" "+end]++
+	}
+	return ends
+}
+
 // Broken lists the promises that were broken so far.
 func (a *Auditor) Broken() []string {
 	a.mu.Lock()
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -78,6 +80,8 @@
 	// Served and Requests are over the whole run.
 	Served   int
 	Requests int
+	// Ends counts the requests by kind and end.
+	Ends map[string]int
 	// Broken are the promises that were broken; each is there once.
 	Broken []string
 }
@@ -232,6 +236,7 @@
 func (r *run) report(faults []scheduler.Fault, since time.Time) Report {
 	rep := Report{Faults: faults, Broken: r.auditor.Broken()}
 	rep.Served, rep.Requests = r.auditor.Count()
+	rep.Ends = r.auditor.Ends()
 	if served, all := r.auditor.Share(imitator.Key, since); float64(served) < servedShare*float64(all) || all == 0 {
 		rep.Broken = append(rep.Broken, fmt.Sprintf("recovery: %d of %d requests served after %v without faults", served, all, calmTime-provenTime))
 	}
@@ -264,8 +269,17 @@
 	for _, f := range rep.Faults {
 		kinds[f.Kind.String()] = true
 	}
-	return fmt.Sprintf("%d faults of %d kinds, %d of %d requests served, %d promises broken",
-		len(rep.Faults), len(kinds), rep.Served, rep.Requests, len(rep.Broken))
+	return fmt.Sprintf("%d faults of %d kinds, %d of %d requests served, %d promises broken (%s)",
+		len(rep.Faults), len(kinds), rep.Served, rep.Requests, len(rep.Broken), rep.ends())
+}
+
+// ends lists how requests ended.
+func (rep Report) ends() string {
+	all := make([]string, 0, len(rep.Ends))
+	for _, end := range slices.Sorted(maps.Keys(rep.Ends)) {
+		all = append(all, fmt.Sprintf("%s: %d", end, rep.Ends[end]))
+	}
+	return strings.Join(all, ", ")
 }
 
 // Details lists a report's faults and broken promises.
