Leave nodes whose links have ended out of address answers

Change: a node with which the answering one had a link that ended is left out, unless that holds for half of them: then the answering node is the one that is cut off. Tests: TestFrontends, TestLostLink.

--- /dev/null
+++ b/internal/supervisor/addresses_test.go
@@ -0,0 +1,42 @@
+package supervisor
+
+import (
+	"strings"
+	"testing"
+
+	"banyanquay/internal/supervisor/tracker"
+)
+
+func TestFrontends(t *testing.T) {
+	node := func(name, centre string, change func(n *tracker.Node)) tracker.Node {
+		n := tracker.Node{Address: name + ":1", Centre: centre, Incarnation: name}
+		if change != nil {
+			change(&n)
+		}
+		return n
+	}
+	lost := func(n *tracker.Node) { n.Lost = true }
+	cases := []struct {
+		name  string
+		nodes []tracker.Node
+		want  string
+	}{
+		{"those of the data centre", []tracker.Node{node("a1", "a", nil), node("a2", "a", nil), node("b1", "b", nil)}, "a1:9 a2:9"},
+		{"all if it has one", []tracker.Node{node("a1", "a", nil), node("b1", "b", nil), node("b2", "b", nil)}, "a1:9 b1:9 b2:9"},
+		{"none that leaves, is down or suspected", []tracker.Node{
+			node("a1", "a", nil), node("a2", "a", nil), node("a3", "a", func(n *tracker.Node) { n.Leaving = true }),
+			node("a4", "a", func(n *tracker.Node) { n.Down = true }), node("a5", "a", func(n *tracker.Node) { n.Suspect = true }),
+		}, "a1:9 a2:9"},
+		// The pattern: a node loses power; its links fall silent long before it is suspected.
+		{"none whose links have ended", []tracker.Node{node("a1", "a", nil), node("a2", "a", nil), node("a3", "a", lost)}, "a1:9 a2:9"},
+		// The pattern: this node is cut off from the others, and not from callers.
+		{"all if most links have ended", []tracker.Node{node("a1", "a", nil), node("a2", "a", lost), node("a3", "a", lost)}, "a1:9 a2:9 a3:9"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := strings.Join(frontends(c.nodes, "a", "9"), " "); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -4,7 +4,6 @@
 	"context"
 	"expvar"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"slices"
@@ -69,11 +68,6 @@
 	// fewNodes is up to how many nodes tell each other their loads: a node has
 	// links with some eight others.
 	fewNodes = 16
-	// fewNear is below how many nodes of a caller's data centre it is also given
-	// those of others.
-	fewNear = 2
-	// mostAddresses is how many addresses a caller takes in.
-	mostAddresses = 64
 )
 
 // Platform is how the platform is spoken to. Its functions are safe for
@@ -398,34 +392,3 @@
 	first := ranker.Of("lead").Top(live, 1)
 	return slices.Contains(first, r.cfg.Settings.Address)
 }
-
-// addresses are the frontends that a caller of a data centre may use: those of
-// its own, and of all if it has few.
-func (r *relay) addresses(centre string) ([]string, time.Duration) {
-	_, port, err := net.SplitHostPort(r.cfg.Settings.Relay.Frontend)
-	if err != nil {
-		return nil, 0
-	}
-	var near, all []string
-	for _, n := range r.tracker.Nodes() {
-		if !n.Live() || n.Suspect {
-			continue
-		}
-		host, _, err := net.SplitHostPort(n.Address)
-		if err != nil {
-			continue
-		}
-		frontend := net.JoinHostPort(host, port)
-		all = append(all, frontend)
-		if n.Centre == centre {
-			near = append(near, frontend)
-		}
-	}
-	if len(near) >= fewNear {
-		all = near
-	}
-	if len(all) > mostAddresses {
-		all = ranker.Of(r.identity.incarnation).Top(all, mostAddresses)
-	}
-	return all, r.reloader.Settings().Relay.DiscoveryTTL.Duration
-}
--- a/internal/supervisor/tracker/lone_test.go
+++ b/internal/supervisor/tracker/lone_test.go
@@ -61,3 +61,30 @@
 	}
 	return nodes[i]
 }
+
+// A node whose link ends counts as lost until the link is up again, or it has had
+// time to come back.
+func TestLostLink(t *testing.T) {
+	now := time.Unix(1000, 0)
+	c := newCore(now, Node{Address: "a:1", Centre: "a", Incarnation: "a"})
+	other := newCore(now, Node{Address: "b:1", Centre: "a", Incarnation: "b"})
+	own, _ := other.table.Get("b:1")
+	c.put(now, own)
+	c.linkUp(now, "1", "b:1", true)
+	if find(c, "b:1").Lost {
+		t.Errorf("a linked node counts as lost")
+	}
+	c.linkDown(now, "1", "b:1")
+	if !find(c, "b:1").Lost {
+		t.Errorf("a node whose link ended doesn't count as lost")
+	}
+	c.linkUp(now, "2", "b:1", true)
+	if find(c, "b:1").Lost {
+		t.Errorf("a node that is linked again counts as lost")
+	}
+	c.linkDown(now, "2", "b:1")
+	c.wanted(now.Add(probeTime), func(int) int { return 0 })
+	if find(c, "b:1").Lost {
+		t.Errorf("a node counts as lost %v after its link ended, want it left to the suspicion", probeTime)
+	}
+}
--- a/internal/supervisor/tracker/node.go
+++ b/internal/supervisor/tracker/node.go
@@ -25,6 +25,9 @@
 	Leaving bool
 	// Suspect is set while a peer finds it silent.
 	Suspect bool
+	// Lost is set while the last link of this node with it has ended and is not up
+	// again; for some seconds, until others suspect it or it is back.
+	Lost bool
 	// Down is set once a suspicion was not refuted in time.
 	Down bool
 	// Unreachable is set while its whole data centre is silent.
--- a/internal/supervisor/tracker/view.go
+++ b/internal/supervisor/tracker/view.go
@@ -33,6 +33,9 @@
 	if incarnation, ok := c.stopping[e.Address]; ok && incarnation == e.Incarnation {
 		n.Leaving = true
 	}
+	if _, lost := c.lost[e.Address]; lost {
+		n.Lost = c.linked[e.Address] == 0
+	}
 	n.Unreachable = c.cut[n.Centre] && e.Address != c.self.Address && c.linked[e.Address] == 0
 	if g.Generation == e.Generation {
 		n.Applied, n.Load = g.Applied, int(g.Load)
@@ -48,7 +51,11 @@
 		return c.chosen
 	}
 	c.dirty = false
-	maps.DeleteFunc(c.lost, func(_ string, at time.Time) bool { return now.Sub(at) >= probeTime })
+	maps.DeleteFunc(c.lost, func(_ string, at time.Time) bool {
+		over := now.Sub(at) >= probeTime
+		c.stale = c.stale || over
+		return over
+	})
 	eligible, others := c.candidates(now)
 	if explore {
 		c.exploredAt, c.explored = now, ""
