--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -41,7 +41,7 @@
 		if rand.Float64() < lentShare {
 			v.Key = lent
 		}
-		r.ask(v, fmt.Sprintf("c%d-%d", n, i), auditor.Kind(rand.IntN(int(auditor.Book)+1)))
+		r.ask(v, fmt.Sprintf("%s-c%d-%d", r.name, n, i), auditor.Kind(rand.IntN(int(auditor.Book)+1)))
 		grouper.Sleep(ctx, rand.N(callPause))
 	}
 }
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/gravitational/trace"
 
 	"banyanquay/internal/grouper"
@@ -50,6 +51,8 @@
 	stopTime = 10 * time.Second
 	// auditInterval is the time between two checks during the run.
 	auditInterval = 500 * time.Millisecond
+	// nameLength is how much of a random name makes runs differ.
+	nameLength = 8
 	// lent is the key that is taken away at times.
 	lent = "lent-key"
 )
@@ -69,7 +72,7 @@
 	Callers int
 	// Engines are those of each data centre.
 	Engines int
-	// Port is the first of some hundred that are free on loopback.
+	// Port is the first of some hundred that are free on loopback; 0 means any.
 	Port int
 	Only []scheduler.Kind
 }
@@ -88,7 +91,9 @@
 
 // run is one run of a seed.
 type run struct {
-	cfg     Config
+	cfg Config
+	// name begins the IDs of the run's requests, so that they are its own.
+	name    string
 	site    *imitator.Site
 	stores  []*proxier.Proxy
 	fronts  []*proxier.Proxy
@@ -101,6 +106,13 @@
 
 // Run runs a seed.
 func Run(ctx context.Context, cfg Config) (Report, error) {
+	if cfg.Port == 0 {
+		port, err := freePort(ctx, cfg)
+		if err != nil {
+			return Report{}, err
+		}
+		cfg.Port = port
+	}
 	r := newRun(cfg)
 	ctx, cancel := context.WithCancel(ctx)
 	steps := []grouper.Step{r.site.Step()}
@@ -119,7 +131,7 @@
 
 // newRun makes the parts of a run.
 func newRun(cfg Config) *run {
-	r := &run{cfg: cfg, down: make(map[scheduler.Kind]int)}
+	r := &run{cfg: cfg, name: uuid.NewString()[:nameLength], down: make(map[scheduler.Kind]int)}
 	r.site = imitator.New(imitator.Config{
 		IP: siteIP, Port: cfg.Port + sitePort, Centres: centres, Engines: cfg.Engines, Front: r.front,
 	})
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -1,6 +1,8 @@
 package soaker
 
 import (
+	"fmt"
+	"net"
 	"slices"
 	"strings"
 	"testing"
@@ -20,6 +22,27 @@
 	}
 }
 
+// The pattern: another program, or another run, has some of the ports.
+func TestFreePort(t *testing.T) {
+	cfg := Config{Nodes: 1, Engines: 1}
+	port, err := freePort(t.Context(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ips := []string{siteIP, frontIP}
+	if err := free(t.Context(), ips, port, 3); err != nil {
+		t.Errorf("port %d: %v", port, err)
+	}
+	ln, err := net.Listen("tcp", net.JoinHostPort(frontIP, fmt.Sprint(port+2)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = ln.Close() }()
+	if free(t.Context(), ips, port, 3) == nil {
+		t.Errorf("ports %d to %d count as free, and %d is not", port, port+2, port+2)
+	}
+}
+
 // Each fault of a link has something to do to connections.
 func TestModes(t *testing.T) {
 	for k := scheduler.StoreDelay; k <= scheduler.EndpointSilent; k++ {
