--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -13,7 +13,7 @@
 )
 
 // Costs of a path, in milliseconds a token. A whole path of engines takes some
-// ten.
+// fifty.
 const (
 	// hopCost is for each engine: the message to it, and the wait for the pass that
 	// it is in, in which it reads prompts beside the steps.
@@ -46,9 +46,8 @@
 	// pooledUnseen is how much of the near nodes' work counts as not known where it
 	// is pooled: many choose between two sums.
 	pooledUnseen = 0.35
-	// readTokens is by how many tokens' costs the time is outweighed in which an
-	// engine reads what this node has just given it: a stream that waits for it is
-	// late for one event, and a slow path for all.
+	// readTokens is over how many tokens the wait is spread while an engine reads what
+	// this node has just given it. The wait delays one event, a slow path all of them.
 	readTokens = 10
 	// noise spreads equal choices, and burst those of streams that all move at
 	// the same moment over the data centres.
--- a/internal/supervisor/teller/pool.go
+++ b/internal/supervisor/teller/pool.go
@@ -138,8 +138,8 @@
 	t.pool = sum
 }
 
-// ReportedTokens is this node's tokens at an endpoint in what the others' sum was answered
-// to: what has come since is not in their sums either.
+// ReportedTokens returns this node's tokens at an endpoint as last reported; 0 in a
+// fleet of few nodes. The sum that came back is as old.
 func (t *Teller) ReportedTokens(id string) int {
 	if t.cfg.Few() {
 		return 0
