--- a/cmd/banyanquayd/platform_test.go
+++ b/cmd/banyanquayd/platform_test.go
@@ -141,6 +141,36 @@
 	return resumed
 }
 
+// Callers that keep their connections notice nothing of a planned stop.
+func TestKeptConnectionsOfAStoppingNode(t *testing.T) {
+	f := start(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var wg sync.WaitGroup
+	for n := range 6 {
+		v := f.visitor(n%2, imitator.Key) // the third node stops
+		transport := &http.Transport{MaxIdleConnsPerHost: 2}
+		defer transport.CloseIdleConnections()
+		v.Client = &http.Client{Transport: transport}
+		wg.Go(func() {
+			for i := 0; ctx.Err() == nil; i++ {
+				id := fmt.Sprintf("kept-%d-%d", n, i)
+				if code, _, err := v.Call(t.Context(), http.MethodPost, "/book/1", id); err != nil || code != http.StatusOK {
+					t.Errorf("%s: got %d, %v, want 200", id, code, err)
+				}
+				if got, want := f.site.Runs(id), 1; got != want {
+					t.Errorf("%s: ran %d times, want %d", id, got, want)
+				}
+			}
+		})
+	}
+	time.Sleep(2 * time.Second)
+	stop(t, f.nodes[2])
+	time.Sleep(time.Second)
+	cancel()
+	wg.Wait()
+}
+
 // The whole path with real sockets: store, placement, discovery, both kinds of
 // services, a crash, keys that come and go, and a planned stop.
 func TestNodesOnThePlatform(t *testing.T) {
--- a/internal/supervisor/forwarder/admit_test.go
+++ b/internal/supervisor/forwarder/admit_test.go
@@ -70,6 +70,26 @@
 	}
 }
 
+// The pattern: a node is suspended after it has read the configuration, and before it
+// has judged how old that is. The key may have been taken away meanwhile.
+func TestSuspendedNodeRefusesKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var sent []driver.Forward
+		w := newWorld(t, relayOf(&sent, own(200, "ok")), desk()...)
+		view := w.view
+		w.f.cfg.View = func() View {
+			time.Sleep(5 * time.Second)
+			return view
+		}
+		if got, want := w.ask(t.Context(), "GET", pathGet+"1", "r1", "").Code, 503; got != want {
+			t.Errorf("status: got %d, want %d", got, want)
+		}
+		if len(sent) > 0 {
+			t.Errorf("the request was sent on")
+		}
+	})
+}
+
 // A node that stops answers what callers still send for a while, and asks them
 // to go.
 func TestLeavingNodeServesAndClosesConnections(t *testing.T) {
