--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -66,6 +66,7 @@
 		defer cancel()
 		// An attempt with a key that is away may be followed by one when it is back.
 		v.Sent = func(string) { seen.Sent = time.Now() }
+		v.Began = func(string) { seen.Began = time.Now() }
 		_, err := v.Stream(ctx, id, events)
 		seen.Status = http.StatusOK
 		if err != nil {
