Try streams elsewhere that an engine fails, and avoid such engines

A failure of a stream was passed on at once and not counted against its engine. The last failure is kept and passed on if nothing else comes. Test: TestStreamsOfAnEngineThatFailsThem (500 without the change, twice).

--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -136,6 +136,8 @@
 	// or may have.
 	sends int
 	runs  int
+	// failure is the last answer of an engine that ran the request and failed it.
+	failure *failure
 	// answered is set once the head of an answer has been written.
 	answered bool
 	// status is that of the answer, and first when its first event or the whole of
@@ -144,6 +146,12 @@
 	first  time.Time
 }
 
+// failure is an endpoint's whole answer to a request that it failed.
+type failure struct {
+	reply driver.Reply
+	body  []byte
+}
+
 // ServeHTTP answers a caller's request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.cfg.Now()
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -55,12 +55,12 @@
 	var last error
 	for {
 		if c.sends > 0 && !f.repeat(c) {
-			f.refuse(c, f.broken(c, refuser.New(refuser.RetryBudgetSpent, "no repeat left").WithWait(spentWait()), last))
+			f.giveUp(c, s, f.broken(c, refuser.New(refuser.RetryBudgetSpent, "no repeat left").WithWait(spentWait()), last))
 			return
 		}
 		path, err := f.path(c, s.version)
 		if err != nil {
-			f.refuse(c, f.broken(c, err, last))
+			f.giveUp(c, s, f.broken(c, err, last))
 			return
 		}
 		whole, err := f.attempt(c, s, path)
@@ -74,12 +74,27 @@
 			return
 		}
 		if !f.resumes(c, s, err) {
-			f.refuse(c, f.broken(c, err, last))
+			f.giveUp(c, s, f.broken(c, err, last))
 			return
 		}
 	}
 }
 
+// giveUp answers a generation that can't go on: with the failure that an engine gave
+// it, if there is one and nothing has been written, else with a refusal.
+func (f *Forwarder) giveUp(c *call, s *session, r refuser.Refusal) {
+	if c.answered || c.failure == nil {
+		f.refuse(c, r)
+		return
+	}
+	c.copyHeader(c.failure.reply)
+	c.w.Header().Set("Content-Length", strconv.Itoa(len(c.failure.body)))
+	c.w.WriteHeader(c.failure.reply.Status)
+	c.answered, c.status, c.first = true, c.failure.reply.Status, f.cfg.Now()
+	_, _ = c.w.Write(c.failure.body)
+	f.finished(c, s)
+}
+
 // repeat takes a repeat out of the budget. A stream in progress waits for one as
 // long as its caller does.
 func (f *Forwarder) repeat(c *call) bool {
@@ -171,7 +186,7 @@
 		return false, f.refusedBy(c, s, reply, began)
 	}
 	if reply.Status != http.StatusOK || !reply.Signed {
-		return f.passFailure(c, s, reply)
+		return false, f.failedBy(c, s, reply, began)
 	}
 	err = f.relay(ctx, c, s, reply)
 	if err == nil {
@@ -247,22 +262,23 @@
 	return &driver.Refused{Reason: strconv.Itoa(reply.Status), Detail: reply.Fault}
 }
 
-// passFailure passes on an answer that is not a stream: the engine ran the
-// request and failed it.
-func (f *Forwarder) passFailure(c *call, s *session, reply driver.Reply) (bool, error) {
+// failedBy takes in an answer that is not a stream: the engine ran the request and
+// failed it. The answer is kept for the caller, should no other engine do better.
+func (f *Forwarder) failedBy(c *call, s *session, reply driver.Reply, began time.Time) error {
 	body, err := io.ReadAll(io.LimitReader(reply.Body, answerBytes))
-	if err != nil || c.answered || !showable(reply) || reply.Status < http.StatusMultipleChoices {
-		f.assessor.Failed(s.look().first().ID)
-		f.count(c, s, s.look().first().Address)
-		return false, trace.ConnectionProblem(err, "answered %d", reply.Status)
+	first := s.look().first()
+	f.assessor.Failed(first.ID)
+	f.count(c, s, first.Address)
+	f.doubt(first.ID, first.Address, doubtTime, "failed")
+	c.tried[first.ID] = true
+	if err == nil && showable(reply) && reply.Status >= http.StatusMultipleChoices {
+		c.failure = &failure{reply: reply, body: body}
 	}
-	c.copyHeader(reply)
-	c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	c.w.WriteHeader(reply.Status)
-	c.answered, c.status, c.first = true, reply.Status, f.cfg.Now()
-	c.runs++
-	_, _ = c.w.Write(body)
-	return true, nil
+	f.cfg.Recorder.Info(recorder.TryFailed,
+		zap.String("request", c.ID), zap.String("endpoint", first.ID), zap.String("address", first.Address),
+		zap.Int("status", reply.Status), zap.Bool("never", false), zap.Int("send", c.sends),
+		zap.Duration("took", f.cfg.Now().Sub(began)), zap.Error(err))
+	return trace.ConnectionProblem(err, "answered %d", reply.Status)
 }
 
 // relay passes the events of a stream on as they come, whole ones only.
--- a/internal/supervisor/forwarder/generate_test.go
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -187,6 +187,62 @@
 	}
 }
 
+// The pattern: an engine's health check is good, and it fails what it is given. A
+// stream that may be resumed is tried elsewhere; if that fails, too, the failure is
+// passed on. Later streams begin elsewhere.
+func TestStreamsOfAnEngineThatFailsThem(t *testing.T) {
+	cases := []struct {
+		name   string
+		fails  map[string]bool
+		status int
+		sends  int
+	}{
+		{"one engine fails", map[string]bool{"a0:1": true}, 200, 2},
+		{"both fail", map[string]bool{"a0:1": true, "b0:1": true}, 500, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, entries := engines(map[string][][2]int{"a": {{0, 80}}, "b": {{0, 80}}})
+				var sent []string
+				w := newWorld(t, driver.Relay{
+					Knock: alive,
+					Send: func(_ context.Context, address string, _ driver.Forward) (driver.Reply, error) {
+						sent = append(sent, address)
+						reply := driver.Reply{Status: 200, Signed: true, Header: http.Header{}}
+						reply.Body = io.NopCloser(strings.NewReader("id: 1\ndata: x\n\n"))
+						if c.fails[address] {
+							reply.Status, reply.Body = 500, io.NopCloser(strings.NewReader("failed at "+address))
+						}
+						return reply, nil
+					},
+				}, entries...)
+				a := w.ask(t.Context(), "POST", pathLLM+"1", "r1", "800,200")
+				if got, want := a.Code, c.status; got != want {
+					t.Errorf("status: got %d %q, want %d", got, a.Body, want)
+				}
+				if got, want := len(sent), c.sends; got != want {
+					t.Errorf("sends: got %v, want %d", sent, want)
+				}
+				if c.status == 500 {
+					if got, want := a.Body.String(), "failed at b0:1"; got != want {
+						t.Errorf("body: got %q, want %q, the last engine's", got, want)
+					}
+					return
+				}
+				for n := range 3 {
+					if a := w.ask(t.Context(), "POST", pathLLM+"1", fmt.Sprint("r", 2+n), "800,200"); a.Code != 200 {
+						t.Errorf("a later stream: got %d, want 200", a.Code)
+					}
+				}
+				if got, want := len(sent), c.sends+3; got != want {
+					t.Errorf("sends with three later streams: got %v, want %d", sent, want)
+				}
+			})
+		})
+	}
+}
+
 // The pattern: another node finds first that an engine has ended. The streams of
 // this one don't wait for their own silence to tell.
 func TestStreamsLeaveAnEngineThatOthersFindGone(t *testing.T) {
