--- a/cmd/banyanquayd/platform_test.go
+++ b/cmd/banyanquayd/platform_test.go
@@ -82,16 +82,7 @@
 		<-done
 	})
 	for n := range 3 {
-		settings := f.settings(n)
-		app := supervisor.NewRelay(supervisor.RelayConfig{
-			Settings: settings, Logger: zap.NewNop(), Counters: counter.New(), Latencies: counter.NewLatencies(),
-			Platform: onPlatform(settings, counter.New()),
-		})
-		if err := app.Start(t.Context()); err != nil {
-			t.Fatal(err)
-		}
-		f.nodes = append(f.nodes, app)
-		t.Cleanup(func() { stop(t, app) })
+		f.nodes = append(f.nodes, f.node(t, n))
 	}
 	f.await(t, "a stream is served", func() bool {
 		_, err := f.visitor(0, imitator.Key).Stream(t.Context(), "first", events)
@@ -100,6 +91,20 @@
 	return f
 }
 
+// node starts a node.
+func (f *fleet) node(t *testing.T, n int) *fx.App {
+	settings := f.settings(n)
+	app := supervisor.NewRelay(supervisor.RelayConfig{
+		Settings: settings, Logger: zap.NewNop(), Counters: counter.New(), Latencies: counter.NewLatencies(),
+		Platform: onPlatform(settings, counter.New()),
+	})
+	if err := app.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { stop(t, app) })
+	return app
+}
+
 // stop stops a node; one that was stopped before stays so.
 func stop(t *testing.T, app *fx.App) {
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
@@ -171,6 +176,37 @@
 	wg.Wait()
 }
 
+// The pattern: all nodes end right after a configuration was acknowledged, before
+// they know of it. What they answer after their start, they answer by it.
+func TestRestartedNodesKnowTheLastConfiguration(t *testing.T) {
+	f := start(t)
+	f.site.Configure("other-key")
+	var wg sync.WaitGroup
+	for _, app := range f.nodes {
+		wg.Go(func() { stop(t, app) })
+	}
+	wg.Wait()
+	for n := range 3 {
+		f.nodes[n] = f.node(t, n)
+	}
+	for n := range 3 {
+		f.await(t, "the removed key is answered", func() bool {
+			code, _, err := f.visitor(n, imitator.Key).Call(t.Context(), http.MethodGet, "/look/1", fmt.Sprint("old", n))
+			if err == nil && code != http.StatusUnauthorized && code != http.StatusServiceUnavailable {
+				t.Errorf("node %d: the removed key gets %d, want 401, or 503 until the node knows", n, code)
+			}
+			return err == nil && code != http.StatusServiceUnavailable
+		})
+		f.await(t, "the new key is served", func() bool {
+			code, _, err := f.visitor(n, "other-key").Call(t.Context(), http.MethodGet, "/look/1", fmt.Sprint("new", n))
+			return err == nil && code == http.StatusOK
+		})
+	}
+	if got := f.site.Runs("old0") + f.site.Runs("old1") + f.site.Runs("old2"); got > 0 {
+		t.Errorf("requests with the removed key ran %d times", got)
+	}
+}
+
 // The whole path with real sockets: store, placement, discovery, both kinds of
 // services, a crash, keys that come and go, and a planned stop.
 func TestNodesOnThePlatform(t *testing.T) {
