--- a/internal/supervisor/forwarder/fleet_test.go
+++ b/internal/supervisor/forwarder/fleet_test.go
@@ -10,7 +10,8 @@
 // gone, whose entry is still there.
 func TestReusedAddressIsItsLastEndpoints(t *testing.T) {
 	got := newest([]registrar.Entry{
-		{ID: "old", Service: "desk", Address: "a:1", Born: 1}, {ID: "new", Service: "llm", Address: "a:1", Born: 2},
+		{ID: "old", Service: "desk", Address: "a:1", Born: 1},
+		{ID: "new", Service: "llm", Address: "a:1", Born: 2},
 		{ID: "other", Service: "desk", Address: "b:1", Born: 1},
 	})
 	if len(got) != 2 || got[0].ID != "new" || got[1].ID != "other" {
