--- a/internal/standin/generator/handler_test.go
+++ b/internal/standin/generator/handler_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
@@ -70,7 +71,15 @@
 func TestFaultsOverHTTP(t *testing.T) {
 	e := driver.NewEngine(driver.EngineConfig{})
 	s := newStage(0, 2, 2)
-	address := s.serve(t)
+	began, ended := make(chan struct{}, 4), make(chan struct{}, 4)
+	handler := s.Handler()
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		began <- struct{}{}
+		defer func() { ended <- struct{}{} }()
+		handler.ServeHTTP(w, r)
+	}))
+	t.Cleanup(srv.Close)
+	address := strings.TrimPrefix(srv.URL, "http://")
 	step := s.step("r", 1, 0, "x")
 
 	s.Control().Update(func(sw Switches) Switches {
@@ -81,6 +90,8 @@
 	if err == nil || reason(err) != "" {
 		t.Errorf("got error %v from a failing step, want no refusal", err)
 	}
+	<-began
+	<-ended
 	s.Control().Update(func(sw Switches) Switches {
 		sw.Freeze = true
 		return sw
@@ -91,10 +102,14 @@
 		_, err := e.Step(ctx, address, step)
 		frozen <- err
 	}()
+	<-began
 	cancel()
 	if err := <-frozen; !errors.Is(err, context.Canceled) {
 		t.Errorf("got error %v from a frozen engine, want none before the cancel", err)
 	}
+	// The caller is back before the engine knows, and the call stays frozen only
+	// if the switch does until then.
+	<-ended
 	s.Control().Update(func(sw Switches) Switches {
 		sw.Freeze = false
 		return sw
