Let the follower's test network end before its test does

The platform's stand-in now closes without closing the channel that dials send on, and its clean-up lets a minute of fake time pass.

--- a/internal/supervisor/follower/net_test.go
+++ b/internal/supervisor/follower/net_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"banyanquay/internal/provider"
@@ -18,26 +19,39 @@
 type platform struct {
 	*archiver.Archiver
 	accept chan net.Conn
+	// closed is closed when nothing is accepted any more.
+	closed chan struct{}
 	server *http.Server
 }
 
+// endTime lets what is under way on the network end after a test: its writes
+// sleep, and time stands still once the test's own goroutine is back.
+const endTime = time.Minute
+
 // Accept, Close and Addr make it the listener of its own server.
 func (p *platform) Accept() (net.Conn, error) {
-	c, ok := <-p.accept
-	if !ok {
+	select {
+	case c := <-p.accept:
+		return c, nil
+	case <-p.closed:
 		return nil, net.ErrClosed
 	}
-	return c, nil
 }
 func (p *platform) Close() error   { return nil }
 func (p *platform) Addr() net.Addr { return &net.TCPAddr{} }
 
 // newPlatform serves until the test ends.
 func newPlatform(t *testing.T) *platform {
-	p := &platform{Archiver: archiver.New(archiver.Config{}), accept: make(chan net.Conn)}
+	p := &platform{
+		Archiver: archiver.New(archiver.Config{}), accept: make(chan net.Conn), closed: make(chan struct{}),
+	}
 	p.server = &http.Server{Handler: p.Handler()}
 	go func() { _ = p.server.Serve(p) }()
-	t.Cleanup(func() { close(p.accept); _ = p.server.Close() })
+	t.Cleanup(func() {
+		close(p.closed)
+		_ = p.server.Close()
+		time.Sleep(endTime)
+	})
 	return p
 }
 
@@ -75,8 +89,13 @@
 	w.mu.Lock()
 	w.conns = append(w.conns, c)
 	w.mu.Unlock()
-	w.platform.accept <- &wire{Conn: far, latency: w.latency, silent: silent}
-	return c, nil
+	select {
+	case w.platform.accept <- &wire{Conn: far, latency: w.latency, silent: silent}:
+		return c, nil
+	case <-w.platform.closed:
+		_ = near.Close()
+		return nil, net.ErrClosed
+	}
 }
 
 // silence silences the connections that are open.
@@ -114,3 +133,22 @@
 	}
 	return c.Conn.Write(data)
 }
+
+// TestNetworkEndsWithACallUnderWay: a test that ends while a request is on its
+// way lets it end.
+func TestNetworkEndsWithACallUnderWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWay(t, newPlatform(t), slowLatency)
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			_, _ = w.log.Read(t.Context(), "other", 0, 0)
+		}()
+		time.Sleep(2*slowLatency + slowLatency/2)
+		select {
+		case <-done:
+			t.Error("the call has ended before the test, want it under way")
+		default:
+		}
+	})
+}
