Model the engines in fake time, and compare policies with standin model

The forwarder, arranger, budgeter, prober and monitor of the product run before emulated engines that follow the published cost law in passes; patterns are TOML, results a table, JSON and a plot. The forwarder takes the search for paths and the arranger the plan as fields, for the baselines. The emulator kept the room of streams that had moved (TestRoomFollowsThePath).

--- /dev/null
+++ b/cmd/standin/model.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/gravitational/trace"
+
+	"banyanquay/internal/standin/modeller"
+)
+
+// modelArgs are the flags of the model of the engines.
+type modelArgs struct {
+	Patterns []string `arg:"--pattern,separate" help:"a pattern's name, or a file that ends in .toml; repeatable (default: quiet)"`
+	Policies []string `arg:"--policy,separate" help:"policy to play; repeatable (default: all)"`
+	Seed     uint64   `arg:"--seed" default:"1" help:"seed of the first play"`
+	Plays    int      `arg:"--plays" default:"1" help:"plays of each, with seeds that follow"`
+	JSON     string   `arg:"--json" help:"file for the results as JSON"`
+	Plot     string   `arg:"--plot" help:"file for a plot, .svg or .png"`
+}
+
+// run plays the patterns and ends the process.
+func (m *modelArgs) run() error {
+	if len(m.Patterns) == 0 {
+		m.Patterns = []string{"quiet"}
+	}
+	policies, err := choosePolicies(m.Policies)
+	if err != nil {
+		return err
+	}
+	var plays []modeller.Plan
+	for _, name := range m.Patterns {
+		pattern, err := modeller.Load(name)
+		if err != nil {
+			return err
+		}
+		for n := range max(m.Plays, 1) {
+			for _, policy := range policies {
+				plays = append(plays, modeller.Plan{Pattern: pattern, Policy: policy, Seed: m.Seed + uint64(n)})
+			}
+		}
+	}
+	return modeller.Chamber(plays, m.write)
+}
+
+// write writes what the plays gave.
+func (m *modelArgs) write(results []modeller.Result) error {
+	if m.JSON != "" {
+		f, err := os.Create(m.JSON)
+		if err != nil {
+			return trace.ConvertSystemError(err)
+		}
+		if err := trace.NewAggregate(modeller.JSON(f, results), f.Close()); err != nil {
+			return err
+		}
+	}
+	if m.Plot != "" {
+		if err := modeller.Plot(m.Plot, results); err != nil {
+			return err
+		}
+	}
+	return modeller.Table(os.Stdout, results)
+}
+
+// choosePolicies returns the policies of some names, or all.
+func choosePolicies(names []string) ([]modeller.Policy, error) {
+	all := modeller.Policies()
+	if len(names) == 0 {
+		return all, nil
+	}
+	var chosen []modeller.Policy
+	for _, name := range names {
+		at := slices.IndexFunc(all, func(p modeller.Policy) bool { return p.Name == name })
+		if at < 0 {
+			known := make([]string, 0, len(all))
+			for _, p := range all {
+				known = append(known, p.Name+" ("+p.About+")")
+			}
+			return nil, trace.BadParameter("no policy %q; there are: %s", name, strings.Join(known, "; "))
+		}
+		chosen = append(chosen, all[at])
+	}
+	return chosen, nil
+}
--- a/internal/standin/emulator/emulator.go
+++ b/internal/standin/emulator/emulator.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -16,23 +17,39 @@
 	"banyanquay/internal/driver"
 )
 
-// Config sets the cost law.
+// Config sets the cost law. All times are those over all layers at pace 1.
 type Config struct {
-	// Step is the time of a token's step over all layers at pace 1, and Read
-	// how many prompt tokens are read over all layers in a millisecond.
-	Step time.Duration
-	Read float64
-	// Stride is the tokens of one event.
+	// Step is the time of a token's step, Sequence what each request that writes
+	// adds to it, and Context what each thousand of its tokens add.
+	Step     time.Duration
+	Sequence time.Duration
+	Context  time.Duration
+	// Read is how many prompt tokens are read in a millisecond, and Pairs the time of
+	// a million pairs of a token and an earlier one. At most Chunk tokens are read in
+	// a step; 0 means that an engine's requests don't delay each other's steps.
+	Read  float64
+	Pairs time.Duration
+	Chunk int
+	// Stride is the tokens of one event, and the steps of a pass that writes.
 	Stride int
 	// Layers is the layer count of the model.
 	Layers int
 	// Stall is how long work waits for an engine that doesn't answer.
 	Stall time.Duration
-	// Hop is the time of a message between two engines.
-	Hop time.Duration
+	// Hop is the time of a message between two engines, and Cross that between two
+	// data centres. Pipe is how many tokens a millisecond the pipe between data
+	// centres carries; 0 means any number.
+	Hop   time.Duration
+	Cross time.Duration
+	Pipe  float64
+	// Load is the time of a load of all layers, if no more than LoadsAtOnce run.
+	Load        time.Duration
+	LoadsAtOnce int
+	// Seed is that of the requests that an engine sheds.
+	Seed uint64
 }
 
-// Defaults returns the law that the users' engines follow.
+// Defaults returns a law without batches, for tests of the pattern of a load.
 func Defaults() Config {
 	return Config{
 		Step: 850 * time.Microsecond, Read: 272, Stride: 2, Layers: 80,
@@ -40,18 +57,35 @@
 	}
 }
 
+// Batches returns the law that the users' engines follow.
+func Batches() Config {
+	cfg := Defaults()
+	cfg.Sequence, cfg.Context, cfg.Pairs = 2760*time.Nanosecond, 3700*time.Nanosecond, 120*time.Microsecond
+	cfg.Chunk, cfg.Cross, cfg.Pipe = 512, 620*time.Microsecond, 54
+	return cfg
+}
+
 // Engine is one engine as it is set up.
 type Engine struct {
 	ID      string
 	Address string
+	Centre  string
 	// First and Last bound the layers held as [First, Last).
 	First int
 	Last  int
 	// Pace multiplies steps and ReadPace the reading of prompts.
 	Pace     float64
 	ReadPace float64
-	// Room is how many tokens fit; 0 means any number.
-	Room int
+	// Room is how many tokens of one layer fit beside no layer, and LayerRoom what
+	// a layer takes of it; 0 means any number.
+	Room      int
+	LayerRoom int
+}
+
+// fits is how many tokens fit beside the layers held.
+func (e Engine) fits() int {
+	layers := max(e.Last-e.First, 1)
+	return (e.Room - layers*e.LayerRoom) / layers
 }
 
 // engine is an engine's state.
@@ -62,13 +96,20 @@
 	dark bool
 	// slow multiplies all times.
 	slow float64
+	// shed is the share of requests that it turns away.
+	shed float64
 	// tokens are held by requests.
 	tokens int
-	// busy is until when the engine reads prompts.
+	// waiting is the work for the next passes, and passing is set while one runs.
+	waiting []*task
+	passing bool
+	// busy is until when the engine reads prompts, without batches.
 	busy time.Time
 	// orders counts accepted orders.
 	orders int64
 	fence  uint64
+	// loading is the range of a load that runs.
+	loading *driver.Placement
 	// changed is closed and replaced when dead changes.
 	changed chan struct{}
 }
@@ -78,6 +119,8 @@
 	id    string
 	path  []driver.Part
 	moved chan struct{}
+	// room is the tokens that it takes at each engine of the path.
+	room int
 	// tokens are those so far, and unread the addresses of new parts of the path
 	// that have yet to read them.
 	tokens int
@@ -102,11 +145,19 @@
 	generations map[string]*generation
 	sends       int
 	repaths     int
+	// loads counts those that run, and piped is until when the pipe between data
+	// centres is taken.
+	loads int
+	piped time.Time
+	dice  *rand.Rand
 }
 
 // New returns an emulator of some engines.
 func New(cfg Config, engines []Engine) *Emulator {
-	e := &Emulator{cfg: cfg, engines: make(map[string]*engine), generations: make(map[string]*generation)}
+	e := &Emulator{
+		cfg: cfg, engines: make(map[string]*engine), generations: make(map[string]*generation),
+		dice: rand.New(rand.NewPCG(cfg.Seed, 0)),
+	}
 	for _, each := range engines {
 		e.engines[each.Address] = &engine{Engine: each, slow: 1, changed: make(chan struct{})}
 	}
@@ -119,6 +170,18 @@
 	defer e.mu.Unlock()
 	n := e.engines[address]
 	n.dead, n.dark = true, dark
+	n.waiting, n.loading = nil, nil
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// Start lets an engine that was killed come back, without layers.
+func (e *Emulator) Start(address string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.engines[address]
+	n.dead, n.dark = false, false
+	n.First, n.Last, n.orders, n.fence, n.tokens = 0, 0, 0, 0, 0
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
@@ -130,6 +193,13 @@
 	e.engines[address].slow = factor
 }
 
+// Shed lets an engine turn a share of the requests away that are sent to it.
+func (e *Emulator) Shed(address string, share float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.engines[address].shed = share
+}
+
 // Counts returns how many requests and changes of a path have been received.
 func (e *Emulator) Counts() (sends, repaths int) {
 	e.mu.Lock()
@@ -137,6 +207,13 @@
 	return e.sends, e.repaths
 }
 
+// Answers tells whether an engine runs.
+func (e *Emulator) Answers(address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.engines[address].dead
+}
+
 // Held returns the layers that an engine holds.
 func (e *Emulator) Held(address string) (first, last int) {
 	e.mu.Lock()
@@ -182,7 +259,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	r := driver.Report{Orders: n.orders, Pace: n.slow, Stalled: make(map[string]string)}
+	r := driver.Report{Orders: n.orders, Busy: n.loading != nil, Pace: n.slow, Stalled: make(map[string]string)}
 	for id, g := range e.generations {
 		if g.path[0].Address != address {
 			continue
@@ -217,14 +294,32 @@
 	if p.Fence < n.fence {
 		return &driver.Refused{Reason: driver.ReasonFence}
 	}
-	if p.Orders != n.orders {
+	if p.Orders != n.orders || n.loading != nil {
 		return &driver.Refused{Reason: driver.ReasonState}
 	}
 	n.fence, n.orders = p.Fence, n.orders+1
-	n.First, n.Last = p.First, p.Last
+	if e.cfg.Load == 0 {
+		n.First, n.Last = p.First, p.Last
+		return nil
+	}
+	n.First, n.Last, n.loading = 0, 0, &p
+	e.loads++
+	slower := max(1, float64(e.loads)/float64(max(e.cfg.LoadsAtOnce, 1)))
+	took := time.Duration(float64(e.cfg.Load) * slower * float64(p.Last-p.First) / float64(e.cfg.Layers))
+	time.AfterFunc(took, func() { e.loaded(n, &p) })
 	return nil
 }
 
+// loaded ends a load, unless the engine has ended meanwhile.
+func (e *Emulator) loaded(n *engine, p *driver.Placement) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads--
+	if n.loading == p {
+		n.First, n.Last, n.loading = p.First, p.Last, nil
+	}
+}
+
 // repath moves a generation to another path.
 func (e *Emulator) repath(ctx context.Context, address, _, request string, path []driver.Part) error {
 	if _, err := e.at(ctx, address); err != nil {
@@ -245,6 +340,8 @@
 			g.unread[p.Address] = true
 		}
 	}
+	e.hold(g.path, -g.room)
+	e.hold(path, g.room)
 	g.path = path
 	close(g.moved)
 	g.moved = make(chan struct{})
@@ -260,13 +357,15 @@
 	if err != nil {
 		return driver.Reply{}, err
 	}
-	g := &generation{id: f.ID, path: f.Path, moved: make(chan struct{}), unread: make(map[string]bool)}
-	if refusal, ok := e.admit(g, prompt+answer); !ok {
+	g := &generation{
+		id: f.ID, path: f.Path, room: prompt + answer, moved: make(chan struct{}), unread: make(map[string]bool),
+	}
+	if refusal, ok := e.admit(g); !ok {
 		return refusal, nil
 	}
 	r, w := io.Pipe()
 	go func() {
-		defer e.leave(g, prompt+answer)
+		defer e.leave(g)
 		_ = w.CloseWithError(e.write(ctx, g, w, prompt, answer, after))
 	}()
 	header := http.Header{"Content-Type": {"text/event-stream"}}
@@ -275,22 +374,24 @@
 
 // admit takes in a generation, unless an engine of its path lacks the layers or
 // the room.
-func (e *Emulator) admit(g *generation, tokens int) (driver.Reply, bool) {
+func (e *Emulator) admit(g *generation) (driver.Reply, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.sends++
-	for _, p := range g.path {
+	for i, p := range g.path {
 		n := e.engines[p.Address]
 		switch {
 		case n == nil || n.dead:
 			continue // found out when its turn comes
 		case p.First < n.First || p.Last > n.Last:
 			return refusal(http.StatusMisdirectedRequest, p.Address), false
-		case n.Room > 0 && n.tokens+tokens > n.Room:
+		case i == 0 && n.shed > 0 && e.dice.Float64() < n.shed:
+			return refusal(http.StatusServiceUnavailable, p.Address), false
+		case n.Room > 0 && n.tokens+g.room > n.fits():
 			return refusal(http.StatusServiceUnavailable, p.Address), false
 		}
 	}
-	e.hold(g.path, tokens)
+	e.hold(g.path, g.room)
 	e.generations[g.id] = g
 	return driver.Reply{}, true
 }
@@ -305,10 +406,10 @@
 }
 
 // leave ends a generation.
-func (e *Emulator) leave(g *generation, tokens int) {
+func (e *Emulator) leave(g *generation) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.hold(g.path, -tokens)
+	e.hold(g.path, -g.room)
 	if e.generations[g.id] == g {
 		delete(e.generations, g.id)
 	}
--- a/internal/supervisor/arranger/arranger.go
+++ b/internal/supervisor/arranger/arranger.go
@@ -64,6 +64,8 @@
 	// Pace is how many times slower than usual an engine is; 0 if it is not
 	// known to be.
 	Pace func(endpoint string) float64
+	// Plan gives out layers; nil means the function Plan.
+	Plan func(layers int, holders []Holder, anew func(centre string) bool) []Range
 	// Leads tells whether this node gives orders, and Confirm asks the store.
 	Leads    func() bool
 	Confirm  func(ctx context.Context) (fence uint64, ok bool)
@@ -97,6 +99,9 @@
 
 // New returns an arranger.
 func New(cfg Config) *Arranger {
+	if cfg.Plan == nil {
+		cfg.Plan = Plan
+	}
 	return &Arranger{cfg: cfg, orders: make(map[string]order), lacking: make(map[string]time.Time)}
 }
 
@@ -165,7 +170,7 @@
 		holders = append(holders, a.holder(now, engine, e))
 	}
 	var jobs []job
-	for _, r := range Plan(engine.Layers, holders, a.lasting(now, engine.Layers, holders)) {
+	for _, r := range a.cfg.Plan(engine.Layers, holders, a.lasting(now, engine.Layers, holders)) {
 		part := float64(r.Last-r.First) / float64(engine.Layers)
 		load := time.Duration(part * float64(engine.Load))
 		jobs = append(jobs, job{entry: entries[r.ID], rng: r, load: load, atOnce: engine.LoadsAtOnce})
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -20,6 +20,7 @@
 	"banyanquay/internal/registrar"
 	"banyanquay/internal/supervisor/forwarder/assessor"
 	"banyanquay/internal/supervisor/forwarder/budgeter"
+	"banyanquay/internal/supervisor/forwarder/pather"
 	"banyanquay/internal/supervisor/listener"
 )
 
@@ -65,7 +66,9 @@
 	// are pooled, and late.
 	Reported func(endpoint string) int
 	// Silent tells the other nodes of an engine that accepts no connection.
-	Silent   func(endpoint string)
+	Silent func(endpoint string)
+	// Find chooses paths; nil means pather.Find.
+	Find     func(req pather.Request) ([]pather.Part, bool)
 	Gate     *listener.Gate
 	Now      func() time.Time
 	Recorder *recorder.Recorder
@@ -84,6 +87,9 @@
 
 // New returns a forwarder.
 func New(cfg Config) *Forwarder {
+	if cfg.Find == nil {
+		cfg.Find = pather.Find
+	}
 	f := &Forwarder{cfg: cfg, assessor: assessor.New(cfg.Now)}
 	f.monitor = newMonitor(f)
 	f.prober = newProber(cfg.Relay.Knock, cfg.Now, f.monitor.ranLate)
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -120,7 +120,7 @@
 		engine.Hop += backlog
 		req.Engines = append(req.Engines, engine)
 	}
-	return pather.Find(req)
+	return f.cfg.Find(req)
 }
 
 // keeps returns the part of a stream's path that an engine has, if it still holds
