Count what all nodes give a slow engine to read

The backlog of reading was counted at the usual pace and for this node's prompts only; it stayed near nothing, and streams went on to the engine whose queue was three seconds long, while another data centre had time. Change: reading is counted at the engine's pace, and at a slow engine a node's prompt stands for those of the others, as their tokens there are to its own. TestStreamsShareSlowEngines fails before.

--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"banyanquay/internal/driver"
 	"banyanquay/internal/mapper"
@@ -109,7 +110,10 @@
 			First: h.entry.First, Last: h.entry.Last, Hop: hopCost * factor,
 			Layer: (h.layer + spread*rand.ExpFloat64()) * factor * rec.Slowness(now),
 		}
-		backlog := rec.Backlog(now) * alike / readTokens
+		backlog := rec.Backlog(now) / readTokens
+		if rec.Slowness(now) <= slowPace {
+			backlog *= alike
+		}
 		if kept, ok := ch.keeps(h.entry); ok {
 			req.Engines = append(req.Engines, kept.as(engine))
 		}
@@ -192,11 +196,25 @@
 	tokens := prompt + events*members.service.Engine.Stride
 	for _, p := range parts {
 		if h, ok := members.holder(p.ID); ok {
-			f.assessor.Reads(p.ID, members.service.Engine.ReadTime(h.kind, p.Last-p.First, tokens))
+			usual := members.service.Engine.ReadTime(h.kind, p.Last-p.First, tokens)
+			f.assessor.Reads(p.ID, time.Duration(float64(usual)*f.crowd(p.ID)))
 		}
 	}
 }
 
+// crowd is how many times longer an engine reads than this node's prompt takes on a
+// usual one. A slow engine is short of time for all prompts, so that each of this node's
+// stands for those of the others, too, as their work there is to its own.
+func (f *Forwarder) crowd(id string) float64 {
+	rec := f.assessor.Record(id)
+	slowness := rec.Slowness(f.cfg.Now())
+	if slowness <= slowPace || rec.Tokens <= 0 {
+		return slowness
+	}
+	nodes := float64(f.used(id, rec.Tokens)) / float64(rec.Tokens)
+	return slowness * min(nodes, float64(max(f.cfg.Nodes(), 1)))
+}
+
 // path returns the path of a request's next attempt. Engines in doubt are used
 // only where no others hold the layers.
 func (f *Forwarder) path(c *call, version string) ([]pather.Part, error) {
