--- a/cmd/standin/model.go
+++ b/cmd/standin/model.go
@@ -6,7 +6,10 @@
 	"strings"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
+	"banyanquay/internal/recorder"
 	"banyanquay/internal/standin/modeller"
 )
 
@@ -18,6 +21,7 @@
 	Plays    int      `arg:"--plays" default:"1" help:"plays of each, with seeds that follow"`
 	JSON     string   `arg:"--json" help:"file for the results as JSON"`
 	Plot     string   `arg:"--plot" help:"file for a plot, .svg or .png"`
+	Log      string   `arg:"--log" help:"file for the log lines of all nodes"`
 }
 
 // run plays the patterns and ends the process.
@@ -29,6 +33,17 @@
 	if err != nil {
 		return err
 	}
+	log := recorder.Nop()
+	if m.Log != "" {
+		cfg := zap.NewProductionConfig()
+		cfg.OutputPaths, cfg.Sampling = []string{m.Log}, nil
+		cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+		logger, err := cfg.Build(zap.WithCaller(false))
+		if err != nil {
+			return trace.Wrap(err, "log file %s", m.Log)
+		}
+		log = recorder.New(logger)
+	}
 	var plays []modeller.Plan
 	for _, name := range m.Patterns {
 		pattern, err := modeller.Load(name)
@@ -37,7 +52,7 @@
 		}
 		for n := range max(m.Plays, 1) {
 			for _, policy := range policies {
-				plays = append(plays, modeller.Plan{Pattern: pattern, Policy: policy, Seed: m.Seed + uint64(n)})
+				plays = append(plays, modeller.Plan{Pattern: pattern, Policy: policy, Seed: m.Seed + uint64(n), Recorder: log})
 			}
 		}
 	}
--- a/internal/standin/modeller/chamber.go
+++ b/internal/standin/modeller/chamber.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 
 	"github.com/gravitational/trace"
+
+	"banyanquay/internal/recorder"
 )
 
 // Plan is a play to make.
@@ -14,6 +16,8 @@
 	Pattern Pattern
 	Policy  Policy
 	Seed    uint64
+	// Recorder writes what the nodes log; nil writes nothing.
+	Recorder *recorder.Recorder
 }
 
 // Chamber makes plays in fake time, hands their results over, and ends the process:
--- a/internal/standin/modeller/world.go
+++ b/internal/standin/modeller/world.go
@@ -55,6 +55,7 @@
 type world struct {
 	pattern Pattern
 	policy  Policy
+	log     *recorder.Recorder
 	dice    *rand.Rand
 	engines []emulator.Engine
 	kinds   map[string]Kind // by engine ID
@@ -88,9 +89,12 @@
 // newWorld builds the fleet of a pattern.
 func newWorld(plan Plan) *world {
 	w := &world{
-		pattern: plan.Pattern, policy: plan.Policy, dice: rand.New(rand.NewPCG(plan.Seed, 1)), kinds: make(map[string]Kind),
+		pattern: plan.Pattern, policy: plan.Policy, log: plan.Recorder, dice: rand.New(rand.NewPCG(plan.Seed, 1)), kinds: make(map[string]Kind),
 		started: time.Now(), born: make(map[string]int64),
 	}
+	if w.log == nil {
+		w.log = recorder.Nop()
+	}
 	w.equip()
 	law := emulator.Batches()
 	law.Seed, law.Load, law.LoadsAtOnce = plan.Seed, loadTime, loadsAtOnce
@@ -191,7 +195,7 @@
 		Reported: func(id string) int { return n.told.Load().loads[id] },
 		Silent:   func(id string) { w.spread(n, func(o *node) { o.forwarder.Suspect(id) }) },
 		Gate:     listener.NewGate(), Now: time.Now, Find: w.policy.Find,
-		Recorder: recorder.Nop(), Counters: counter.New(), Latency: counter.NewLatencies(),
+		Recorder: w.log, Counters: counter.New(), Latency: counter.NewLatencies(),
 	})
 	return n
 }
@@ -249,7 +253,7 @@
 		Report: w.emu.Relay().Report, Place: w.emu.Relay().Place, Plan: w.policy.Plan,
 		Pace:  func(id string) float64 { return w.nodes[0].forwarder.Pace(id) },
 		Leads: func() bool { return true }, Confirm: func(context.Context) (uint64, bool) { return 1, true },
-		Fenced: func() {}, Now: time.Now, Recorder: recorder.Nop(), Counters: counter.New(),
+		Fenced: func() {}, Now: time.Now, Recorder: w.log, Counters: counter.New(),
 	})
 	wg.Go(func() { _ = a.Step().Run(ctx) })
 	for _, n := range w.nodes {
