--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -24,6 +24,7 @@
 	{LinesDropped, "Lines of the log were dropped to keep its volume bounded; the count is in the fields.", "Raise log.rate if the lines are needed."},
 	{SettingsRead, "The settings file was read again and its values are in force.", "Nothing."},
 	{SettingsRefused, "The settings file changed and has faults; the last values stay in force.", "Mend every fault named."},
+	{LatenciesSoFar, "The latency histograms since the node's start, as its metrics have them; the last line of a node is of its planned stop.", "Nothing."},
 	{RequestRefused, "A request got a refusal; its code is in the fields.", "Look the code up with banyanquay explain CODE."},
 	{RequestEnded, "A request ended.", "Nothing."},
 	{StageReplaced, "A pipeline goes on with other endpoints.", "Nothing."},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -23,6 +23,7 @@
 	LinesDropped                       // log lines dropped
 	SettingsRead                       // settings read again
 	SettingsRefused                    // changed settings refused
+	LatenciesSoFar                     // latencies since the start
 )
 
 // Events of requests.
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -34,6 +34,7 @@
 	"banyanquay/internal/supervisor/linker"
 	"banyanquay/internal/supervisor/listener"
 	"banyanquay/internal/supervisor/reloader"
+	"banyanquay/internal/supervisor/summarizer"
 	"banyanquay/internal/supervisor/syncer"
 	"banyanquay/internal/supervisor/teller"
 	"banyanquay/internal/supervisor/tracker"
@@ -239,7 +240,8 @@
 		grouper.Group("edge", r.servers()...),
 		grouper.Group("flow", r.forwarder.Step()),
 		grouper.Group("store", r.syncer.Step(), r.announcer.Step()),
-		grouper.Group("settings", r.reloader.Step()),
+		grouper.Group("settings", r.reloader.Step(),
+			summarizer.Step(summarizer.Config{Latencies: r.cfg.Latencies, Recorder: r.recorder})),
 		grouper.Group("members", r.linker.Step(), r.tracker.Step(), r.teller.Step()),
 		grouper.Group("placement", r.elector.Step(), r.arranger.Step()),
 	)
