--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -102,11 +102,7 @@
 // Suspect takes in that another node found an endpoint silent: this node tries
 // it too.
 func (f *Forwarder) Suspect(id string) {
-	e, ok := f.cfg.Endpoints().Get(id)
-	f.monitor.mu.Lock()
-	known := f.monitor.knows(e.Address)
-	f.monitor.mu.Unlock()
-	if ok && !known {
+	if e, ok := f.cfg.Endpoints().Get(id); ok && !f.monitor.foundGone(e.Address) {
 		go func() {
 			if len(f.prober.gone([]string{e.Address}, 0)) > 0 {
 				f.doubt(e.ID, e.Address, silentTime, whySilent)
--- a/internal/supervisor/forwarder/gone.go
+++ b/internal/supervisor/forwarder/gone.go
@@ -68,7 +68,14 @@
 	return !known
 }
 
-// knows tells whether an engine was found gone of late. It needs the lock.
+// foundGone tells whether an engine was found gone of late.
+func (m *monitor) foundGone(address string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.knows(address)
+}
+
+// knows is foundGone for callers that have the lock.
 func (m *monitor) knows(address string) bool {
 	at, ok := m.gone[address]
 	return ok && m.f.cfg.Now().Sub(at) < silentTime
