Let endpoints leave in the soak

An endpoint says that it leaves and is started anew 11 s later; the auditor finds requests that come to it though they were sent 8 s after its word. Leaves are drawn apart, so that earlier seeds give the same other faults (TestLeavesChangeNoOtherFault).

--- a/internal/soaker/auditor/auditor.go
+++ b/internal/soaker/auditor/auditor.go
@@ -5,8 +5,11 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
+
+	"banyanquay/platform/imitator"
 )
 
 //go:generate stringer -type=Kind -linecomment -output=kind_string.go
@@ -68,6 +71,10 @@
 	Revoke time.Duration
 	// Runs tells when the plain service ran a request.
 	Runs func(id string) []time.Time
+	// Leave is how long an endpoint may get requests after its word that it leaves was
+	// accepted, and Visits tells at which such endpoints a request came.
+	Leave  time.Duration
+	Visits func(id string) []imitator.Visit
 }
 
 // Auditor keeps what was seen. It is safe for concurrent use.
@@ -185,6 +192,9 @@
 	if r.Kind == Stream && r.Status == http.StatusOK {
 		runs = append(runs, r.Began)
 	}
+	for _, v := range a.late(r) {
+		add("came to %s and was sent %v after that said that it leaves", v.Endpoint, r.Sent.Sub(v.Left))
+	}
 	for _, b := range a.absences {
 		for _, at := range runs {
 			if b.forbids(r, at, a.cfg.Revoke) {
@@ -195,6 +205,13 @@
 	return broken
 }
 
+// late lists the endpoints at which a request came that had left long before.
+func (a *Auditor) late(r Request) []imitator.Visit {
+	return slices.DeleteFunc(slices.Clone(a.cfg.Visits(r.ID)), func(v imitator.Visit) bool {
+		return r.Sent.Sub(v.Left) <= a.cfg.Leave
+	})
+}
+
 // forbids tells whether a request was sent so late that its key must not work, and ran
 // before the key was back. One that waited at a node until then may run.
 func (b absence) forbids(r Request, ran time.Time, revoke time.Duration) bool {
--- a/internal/soaker/auditor/auditor_test.go
+++ b/internal/soaker/auditor/auditor_test.go
@@ -5,12 +5,19 @@
 	"strings"
 	"testing"
 	"time"
+
+	"banyanquay/platform/imitator"
 )
 
 func TestBroken(t *testing.T) {
 	start := time.Unix(1000, 0)
 	taken := start.Add(10 * time.Second)
-	const revoke = 5 * time.Second
+	const (
+		revoke = 5 * time.Second
+		leave  = 8 * time.Second
+		// visitor is the ID of a request that came to an endpoint that left at the start.
+		visitor = "v"
+	)
 	cases := []struct {
 		name string
 		r    Request
@@ -35,6 +42,8 @@
 		{"a request that waited", Request{Kind: Book, Status: 200, Key: "k", Sent: taken.Add(7 * time.Second), Began: taken.Add(8500 * time.Millisecond)}, 1, ""},
 		{"a stream that waited", Request{Kind: Stream, Status: 200, Key: "k", Sent: taken.Add(7 * time.Second), Began: taken.Add(8500 * time.Millisecond)}, 0, ""},
 		{"a stream that did not", Request{Kind: Stream, Status: 200, Key: "k", Sent: taken.Add(7 * time.Second), Began: taken.Add(7500 * time.Millisecond)}, 0, "after its key was taken away"},
+		{"at an endpoint that just left", Request{ID: visitor, Kind: Look, Status: 200, Sent: start.Add(leave)}, 1, ""},
+		{"at an endpoint that left long ago", Request{ID: visitor, Kind: Look, Status: 200, Sent: start.Add(leave + 1)}, 1, "after that said that it leaves"},
 		{"another key", Request{Kind: Look, Status: 200, Key: "o", Sent: taken.Add(revoke + 1)}, 1, ""},
 	}
 	for _, c := range cases {
@@ -45,6 +54,11 @@
 					at = c.r.Sent
 				}
 				return slices.Repeat([]time.Time{at}, c.runs)
+			}, Leave: leave, Visits: func(string) []imitator.Visit {
+				if c.r.ID == visitor {
+					return []imitator.Visit{{Endpoint: "e", Left: start}}
+				}
+				return nil
 			}})
 			a.Taken("k", taken)
 			a.Given("k", taken.Add(8*time.Second))
--- a/internal/soaker/causer.go
+++ b/internal/soaker/causer.go
@@ -64,6 +64,10 @@
 		grouper.Sleep(ctx, f.For)
 		r.auditor.Given(lent, time.Now())
 		r.site.Configure(imitator.Key, lent)
+	case scheduler.Leave:
+		r.site.Leave(f.Target)
+		grouper.Sleep(ctx, f.For)
+		r.site.Return(f.Target)
 	default:
 		p := r.stores[f.Target%len(r.stores)]
 		if f.Kind >= scheduler.EndpointDelay {
--- a/internal/soaker/scheduler/kind_string.go
+++ b/internal/soaker/scheduler/kind_string.go
@@ -27,11 +27,12 @@
 	_ = x[EndpointMute-16]
 	_ = x[EndpointSilent-17]
 	_ = x[Revoke-18]
+	_ = x[Leave-19]
 }
 
-const _Kind_name = "killkill_allpausetermhupstore_delaystore_resetstore_deafstore_mutestore_silentstore_downstore_losestore_compactendpoint_delayendpoint_resetendpoint_deafendpoint_muteendpoint_silentrevoke"
+const _Kind_name = "killkill_allpausetermhupstore_delaystore_resetstore_deafstore_mutestore_silentstore_downstore_losestore_compactendpoint_delayendpoint_resetendpoint_deafendpoint_muteendpoint_silentrevokeleave"
 
-var _Kind_index = [...]uint8{0, 4, 12, 17, 21, 24, 35, 46, 56, 66, 78, 88, 98, 111, 125, 139, 152, 165, 180, 186}
+var _Kind_index = [...]uint8{0, 4, 12, 17, 21, 24, 35, 46, 56, 66, 78, 88, 98, 111, 125, 139, 152, 165, 180, 186, 191}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/soaker/scheduler/scheduler.go
+++ b/internal/soaker/scheduler/scheduler.go
@@ -36,8 +36,10 @@
 	EndpointMute               // endpoint_mute
 	EndpointSilent             // endpoint_silent
 	Revoke                     // revoke
+	Leave                      // leave
 
-	// kinds is how many there are.
+	// kinds is how many are drawn at the same odds: all but Leave, which is drawn
+	// apart so that seeds give the same other faults as before there was one.
 	kinds = int(Revoke) + 1
 )
 
@@ -85,6 +87,11 @@
 	revokeFor = 8 * time.Second
 	// mostDelay is the longest delay of a chunk.
 	mostDelay = 300 * time.Millisecond
+	// leaveFor is how long an endpoint leaves before it is back, longer than the time
+	// in which it may still get requests, and leaveGap the longest time from one that
+	// is back to the next that leaves.
+	leaveFor = 11 * time.Second
+	leaveGap = 4 * time.Second
 )
 
 // Draw returns the faults of a run in their order.
@@ -117,10 +124,25 @@
 			}
 		}
 	}
+	if len(cfg.Only) == 0 || slices.Contains(cfg.Only, Leave) {
+		faults = append(faults, leaves(cfg)...)
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
 
+// leaves draws the endpoints that leave, one after the other.
+func leaves(cfg Config) []Fault {
+	r := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+1))
+	var faults []Fault
+	for at := upTo(r, leaveGap); at < cfg.Time; at += leaveFor + upTo(r, leaveGap) {
+		faults = append(faults, Fault{
+			Kind: Leave, At: at, For: min(leaveFor, cfg.Time-at), Target: r.IntN(max(cfg.Endpoints, 1)),
+		})
+	}
+	return faults
+}
+
 // upTo draws a time up to a bound.
 func upTo(r *rand.Rand, most time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(most)))
--- a/internal/soaker/scheduler/scheduler_test.go
+++ b/internal/soaker/scheduler/scheduler_test.go
@@ -43,7 +43,27 @@
 			drawn[f.Kind] = true
 		}
 	}
-	if got, want := len(drawn), kinds; got != want {
+	if got, want := len(drawn), kinds+1; got != want {
 		t.Errorf("kinds: got %d, want %d", got, want)
 	}
 }
+
+// A seed that failed once stays a regression case when leaving endpoints are drawn, too.
+func TestLeavesChangeNoOtherFault(t *testing.T) {
+	cfg := Config{Seed: 107, Time: 20 * time.Second, Nodes: 5, Endpoints: 9}
+	all := Draw(cfg)
+	for k := Kill; k <= Revoke; k++ {
+		cfg.Only = append(cfg.Only, k)
+	}
+	others := Draw(cfg)
+	leaves := slices.DeleteFunc(slices.Clone(all), func(f Fault) bool { return f.Kind != Leave })
+	left := slices.DeleteFunc(all, func(f Fault) bool { return f.Kind == Leave })
+	if !slices.Equal(left, others) || len(leaves) == 0 {
+		t.Errorf("got %v beside %d endpoints that leave, want %v", left, len(leaves), others)
+	}
+	for i := 1; i < len(leaves); i++ {
+		if got, want := leaves[i].At-leaves[i-1].At, leaves[i-1].For; got < want {
+			t.Errorf("an endpoint leaves %v after another that takes %v", got, want)
+		}
+	}
+}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -47,6 +47,10 @@
 	// time that a request takes from its caller to the node.
 	revokeTime  = 5 * time.Second
 	revokeSlack = 200 * time.Millisecond
+	// leaveTime is how long an endpoint that leaves may get requests: a node that knows
+	// nothing new from the store for revokeTime refuses all requests with a key, and what
+	// it knows of endpoints comes with the rest; it may be some seconds behind.
+	leaveTime = 8 * time.Second
 	// stopTime bounds a planned stop.
 	stopTime = 10 * time.Second
 	// auditInterval is the time between two checks during the run.
@@ -136,7 +140,9 @@
 		IP: siteIP, Port: cfg.Port + sitePort, Centres: centres, Engines: cfg.Engines, Front: r.front,
 	})
 	r.site.Configure(imitator.Key, lent)
-	r.auditor = auditor.New(auditor.Config{Revoke: revokeTime + revokeSlack, Runs: r.site.RunTimes})
+	r.auditor = auditor.New(auditor.Config{
+		Revoke: revokeTime + revokeSlack, Runs: r.site.RunTimes, Leave: leaveTime, Visits: r.site.Visits,
+	})
 	_, storePort, _ := net.SplitHostPort(r.site.Address())
 	for n := range cfg.Nodes {
 		r.stores = append(r.stores, proxier.New(net.JoinHostPort(fmt.Sprintf(storeIP, n+1), storePort), r.site.Address()))
@@ -263,7 +269,7 @@
 	var kinds []scheduler.Kind
 	for _, name := range names {
 		found := false
-		for k := scheduler.Kill; k <= scheduler.Revoke; k++ {
+		for k := scheduler.Kill; k <= scheduler.Leave; k++ {
 			if k.String() == name {
 				kinds, found = append(kinds, k), true
 			}
