Avoid an engine for longer each time it refuses in a row

Change: each refusal in a row doubles the time, up to 2.4 s; a request that is taken ends the row, and refusals of requests sent before the first don't count. Before, 60 streams in 3 s before an engine that refuses: 30 refused tries; after: at most 6 (TestEngineThatRefusesInARowIsTriedLessOften).

--- a/internal/supervisor/forwarder/assessor/assessor.go
+++ b/internal/supervisor/forwarder/assessor/assessor.go
@@ -29,6 +29,10 @@
 	at time.Time
 	// Doubted is until when the endpoint is avoided.
 	Doubted time.Time
+	// refusals counts those in a row, each after the doubt of the one before, and
+	// refused is when the last came.
+	refusals int
+	refused  time.Time
 	// Reading is until when the endpoint reads the prompts that this node has given
 	// it, as far as known.
 	Reading time.Time
@@ -187,6 +191,38 @@
 	a.records[id] = r
 }
 
+// refusalsApart is after how long a refusal is no longer in a row with the one before.
+const refusalsApart = 5 * time.Second
+
+// Refused takes in that an endpoint refused a request, and returns how many times in a
+// row it did, at least 1. One that comes while the endpoint is avoided was sent before.
+func (a *Assessor) Refused(id string) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r, now := a.records[id], a.now()
+	if now.Sub(r.refused) > refusalsApart {
+		r.refusals = 0
+	}
+	if r.refusals == 0 || !now.Before(r.Doubted) {
+		r.refusals++
+	}
+	r.refused = now
+	a.records[id] = r
+	return r.refusals
+}
+
+// Accepted takes in that endpoints took a request: the next refusal is a first one.
+func (a *Assessor) Accepted(ids []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, id := range ids {
+		if r := a.records[id]; r.refusals > 0 {
+			r.refusals = 0
+			a.records[id] = r
+		}
+	}
+}
+
 // Trust ends a doubt.
 func (a *Assessor) Trust(id string) {
 	a.mu.Lock()
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -30,8 +30,11 @@
 	maxBegins   = 3
 	// doubtTime is how long an endpoint is avoided after it failed work.
 	doubtTime = 2 * time.Second
-	// fullTime is how long an engine that had no room is avoided.
-	fullTime = 150 * time.Millisecond
+	// fullTime is how long an engine that had no room is avoided. Each refusal in a
+	// row doubles it, fullDoublings times at most: the engine may leave without this
+	// node's knowledge.
+	fullTime      = 150 * time.Millisecond
+	fullDoublings = 4
 	// budgetPatience is how long a stream in progress waits for a repeat: callers
 	// leave after a silence of two seconds. budgetPoll is how often it asks.
 	budgetPatience = 1300 * time.Millisecond
@@ -188,6 +191,7 @@
 	if reply.Status != http.StatusOK || !reply.Signed {
 		return false, f.failedBy(c, s, reply, began)
 	}
+	f.assessor.Accepted(ids(path))
 	err = f.relay(ctx, c, s, reply)
 	if err == nil {
 		c.runs++
@@ -249,7 +253,7 @@
 			id = p.ID
 		}
 	}
-	wait := fullTime
+	wait := fullTime << min(f.assessor.Refused(id)-1, fullDoublings)
 	if reply.Status == http.StatusMisdirectedRequest || f.cfg.Now().Sub(began) > time.Second {
 		wait = doubtTime
 	}
