Take the whole table of a new reader

Cause, found while reading the diff: a place in another node's history says what changed there, and what did not is taken to be the same here. An entry that one reader dropped and another kept through an outage of the store is the exception: a node that was told by the first and is then told by the second would lack it until it changes. Change: when another node reads for this one, all places are forgotten. TestAnotherReaderTellsItsWholeTable fails before.

--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -142,6 +142,7 @@
 	for i, address := range s.cfg.Readers() {
 		var a ask
 		if i == 0 {
+			s.readBy(address)
 			a = ask{report: s.cfg.Report(), whole: true}
 		}
 		if s.askPeer(ctx, address, a) {
@@ -151,6 +152,17 @@
 	grouper.Sleep(ctx, askInterval-peerTick)
 }
 
+// readBy takes in which node reads for this one. Another than before tells its whole
+// table: entries that the store dropped for a while may be gone from one table only.
+func (s *Syncer) readBy(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.reader != address {
+		s.reader = address
+		clear(s.origins)
+	}
+}
+
 // old tells whether this node's knowledge is older than a store that answers
 // would leave it.
 func (s *Syncer) old() bool {
--- a/internal/supervisor/syncer/readers_test.go
+++ b/internal/supervisor/syncer/readers_test.go
@@ -309,3 +309,42 @@
 		}
 	})
 }
+
+// The pattern: one reader has dropped an entry that another kept, and ends. The entry
+// has not changed at the other, which must tell it all the same.
+func TestAnotherReaderTellsItsWholeTable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lacks, keeps := newStore(), newStore()
+		for _, each := range []*store{lacks, keeps} {
+			each.put(configTopic, configKey, "1")
+			each.put(endpointTopic, "a", "up")
+		}
+		keeps.put(endpointTopic, "b", "up")
+		peers := map[string]*Syncer{}
+		peers["lacks"], peers["keeps"] = newSyncer(lacks, peers), newSyncer(keeps, peers)
+		start(t, peers["lacks"])
+		start(t, peers["keeps"])
+		s := newSyncer(keeps, peers)
+		var mu sync.Mutex
+		reader := "keeps"
+		s.cfg.Reads = func() bool { return false }
+		s.cfg.Readers = func() []string {
+			mu.Lock()
+			defer mu.Unlock()
+			return []string{reader}
+		}
+		start(t, s)
+		for _, step := range []struct {
+			reader string
+			want   bool
+		}{{"keeps", true}, {"lacks", false}, {"keeps", true}} {
+			mu.Lock()
+			reader = step.reader
+			mu.Unlock()
+			time.Sleep(3 * time.Second)
+			if _, got := s.Table().Get("b"); got != step.want {
+				t.Errorf("reader %s: got the entry %v, want %v", step.reader, got, step.want)
+			}
+		}
+	})
+}
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -96,9 +96,10 @@
 
 	// What follows is guarded by mu. history tells what changed in the table for
 	// nodes that ask, and origins are up to where those that this node asked have told
-	// it theirs, by address.
+	// it theirs, by address. reader is the node that reads for this one.
 	history history
 	origins map[string]origin
+	reader  string
 }
 
 // New returns a syncer that knows nothing yet.
