--- a/internal/standin/modeller/modeller_test.go
+++ b/internal/standin/modeller/modeller_test.go
@@ -46,9 +46,12 @@
 			}
 		})
 	}
-	bad := small + "[[troubles]]\nkind = \"flood\"\nat = 1\n"
-	if _, err := Parse([]byte(bad)); err == nil || !strings.Contains(err.Error(), `kind "flood"`) {
-		t.Errorf("got error %v, want one that names the kind of trouble", err)
+	for text, want := range map[string]string{
+		"kind = \"flood\"": `kind "flood"`, "at = 1": "trouble 1: got no kind", "kind = \"slow\"\nshare = 2": "trouble 1: got share 2",
+	} {
+		if _, err := Parse([]byte(small + "[[troubles]]\n" + text + "\n")); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got error %v, want one with %q", text, err, want)
+		}
 	}
 }
 
--- a/internal/standin/modeller/pattern.go
+++ b/internal/standin/modeller/pattern.go
@@ -68,23 +68,41 @@
 	Most   float64 `toml:"most"`
 }
 
+//go:generate stringer -type=TroubleKind -linecomment -output=troublekind_string.go
+
+// TroubleKind is what a trouble does.
+type TroubleKind int
+
 // Kinds of troubles.
 const (
-	// troubleBurst multiplies the streams by Factor.
-	troubleBurst = "burst"
-	// troubleCrash ends engines, which come back without layers.
-	troubleCrash = "crash"
-	// troubleDark is the same, but they let connections hang.
-	troubleDark = "dark"
-	// troubleSlow makes engines slower by Factor.
-	troubleSlow = "slow"
-	// troubleShed lets engines turn the share Factor of their requests away.
-	troubleShed = "shed"
+	// Burst multiplies the streams by Factor.
+	Burst TroubleKind = iota + 1 // burst
+	// Crash ends engines, which come back without layers.
+	Crash // crash
+	// Dark is the same, but they let connections hang.
+	Dark // dark
+	// Slow makes engines slower by Factor.
+	Slow // slow
+	// Shed lets engines turn the share Factor of their requests away.
+	Shed // shed
 )
 
+// UnmarshalText reads a kind by its name.
+func (k *TroubleKind) UnmarshalText(text []byte) error {
+	names := make([]string, 0, Shed)
+	for known := Burst; known <= Shed; known++ {
+		if known.String() == string(text) {
+			*k = known
+			return nil
+		}
+		names = append(names, known.String())
+	}
+	return trace.BadParameter("got kind %q, want one of %s", text, strings.Join(names, ", "))
+}
+
 // Trouble is something that happens to engines or callers for some time.
 type Trouble struct {
-	Kind string `toml:"kind"`
+	Kind TroubleKind `toml:"kind"`
 	// At and For are in seconds since the first callers.
 	At  float64 `toml:"at"`
 	For float64 `toml:"for"`
@@ -167,12 +185,11 @@
 			}
 		}
 	}
-	kinds := []string{troubleBurst, troubleCrash, troubleDark, troubleSlow, troubleShed}
 	for i, t := range p.Troubles {
-		if !slices.Contains(kinds, t.Kind) {
-			return trace.BadParameter("trouble %d: got kind %q, want one of %s", i+1, t.Kind, strings.Join(kinds, ", "))
-		}
-		if t.Kind != troubleBurst && (t.Share <= 0 || t.Share > 1) {
+		switch {
+		case t.Kind == 0:
+			return trace.BadParameter("trouble %d: got no kind", i+1)
+		case t.Kind != Burst && (t.Share <= 0 || t.Share > 1):
 			return trace.BadParameter("trouble %d: got share %v, want more than 0 and at most 1", i+1, t.Share)
 		}
 	}
@@ -183,7 +200,7 @@
 func (p Pattern) factor(at time.Duration) float64 {
 	factor := 1.0
 	for _, t := range p.Troubles {
-		if t.Kind == troubleBurst && at >= seconds(t.At) && at < seconds(t.At+t.For) {
+		if t.Kind == Burst && at >= seconds(t.At) && at < seconds(t.At+t.For) {
 			factor *= t.Factor
 		}
 	}
--- a/internal/standin/modeller/world.go
+++ b/internal/standin/modeller/world.go
@@ -299,25 +299,25 @@
 	engines := w.pick(t.Share)
 	for _, e := range engines {
 		switch t.Kind {
-		case troubleCrash, troubleDark:
-			w.emu.Kill(e.Address, t.Kind == troubleDark)
-		case troubleSlow:
+		case Crash, Dark:
+			w.emu.Kill(e.Address, t.Kind == Dark)
+		case Slow:
 			w.emu.Slow(e.Address, t.Factor)
-		case troubleShed:
+		case Shed:
 			w.emu.Shed(e.Address, t.Factor)
 		}
 	}
 	every(ctx, seconds(t.For))
 	for _, e := range engines {
 		switch t.Kind {
-		case troubleCrash, troubleDark:
+		case Crash, Dark:
 			w.mu.Lock()
 			w.born[e.ID]++
 			w.mu.Unlock()
 			w.emu.Start(e.Address)
-		case troubleSlow:
+		case Slow:
 			w.emu.Slow(e.Address, 1)
-		case troubleShed:
+		case Shed:
 			w.emu.Shed(e.Address, 0)
 		}
 	}
