--- a/cmd/standin/model.go
+++ b/cmd/standin/model.go
@@ -44,7 +44,7 @@
 		}
 		log = recorder.New(logger)
 	}
-	var plays []modeller.Plan
+	var plays []modeller.Setup
 	for _, name := range m.Patterns {
 		pattern, err := modeller.Load(name)
 		if err != nil {
@@ -52,11 +52,11 @@
 		}
 		for n := range max(m.Plays, 1) {
 			for _, policy := range policies {
-				plays = append(plays, modeller.Plan{Pattern: pattern, Policy: policy, Seed: m.Seed + uint64(n), Recorder: log})
+				plays = append(plays, modeller.Setup{Pattern: pattern, Policy: policy, Seed: m.Seed + uint64(n), Recorder: log})
 			}
 		}
 	}
-	return modeller.Chamber(plays, m.write)
+	return modeller.PlayAll(plays, m.write)
 }
 
 // write writes what the plays gave.
--- a/internal/standin/emulator/emulator.go
+++ b/internal/standin/emulator/emulator.go
@@ -164,42 +164,6 @@
 	return e
 }
 
-// Kill ends an engine. A dark one leaves connections open and answers nothing.
-func (e *Emulator) Kill(address string, dark bool) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	n := e.engines[address]
-	n.dead, n.dark = true, dark
-	n.waiting, n.loading = nil, nil
-	close(n.changed)
-	n.changed = make(chan struct{})
-}
-
-// Start lets an engine that was killed come back, without layers.
-func (e *Emulator) Start(address string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	n := e.engines[address]
-	n.dead, n.dark = false, false
-	n.First, n.Last, n.orders, n.fence, n.tokens = 0, 0, 0, 0, 0
-	close(n.changed)
-	n.changed = make(chan struct{})
-}
-
-// Slow makes an engine slower by a factor.
-func (e *Emulator) Slow(address string, factor float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.engines[address].slow = factor
-}
-
-// Shed lets an engine turn a share of the requests away that are sent to it.
-func (e *Emulator) Shed(address string, share float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.engines[address].shed = share
-}
-
 // Counts returns how many requests and changes of a path have been received.
 func (e *Emulator) Counts() (sends, repaths int) {
 	e.mu.Lock()
@@ -283,43 +247,6 @@
 	return "", false
 }
 
-// place lets an engine hold other layers, after the time of their load.
-func (e *Emulator) place(ctx context.Context, address, _ string, p driver.Placement) error {
-	n, err := e.at(ctx, address)
-	if err != nil {
-		return err
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if p.Fence < n.fence {
-		return &driver.Refused{Reason: driver.ReasonFence}
-	}
-	if p.Orders != n.orders || n.loading != nil {
-		return &driver.Refused{Reason: driver.ReasonState}
-	}
-	n.fence, n.orders = p.Fence, n.orders+1
-	if e.cfg.Load == 0 {
-		n.First, n.Last = p.First, p.Last
-		return nil
-	}
-	n.First, n.Last, n.loading = 0, 0, &p
-	e.loads++
-	slower := max(1, float64(e.loads)/float64(max(e.cfg.LoadsAtOnce, 1)))
-	took := time.Duration(float64(e.cfg.Load) * slower * float64(p.Last-p.First) / float64(e.cfg.Layers))
-	time.AfterFunc(took, func() { e.loaded(n, &p) })
-	return nil
-}
-
-// loaded ends a load, unless the engine has ended meanwhile.
-func (e *Emulator) loaded(n *engine, p *driver.Placement) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.loads--
-	if n.loading == p {
-		n.First, n.Last, n.loading = p.First, p.Last, nil
-	}
-}
-
 // repath moves a generation to another path.
 func (e *Emulator) repath(ctx context.Context, address, _, request string, path []driver.Part) error {
 	if _, err := e.at(ctx, address); err != nil {
--- a/internal/standin/modeller/chamber.go
+++ b/internal/standin/modeller/chamber.go
@@ -11,8 +11,8 @@
 	"banyanquay/internal/recorder"
 )
 
-// Plan is a play to make.
-type Plan struct {
+// Setup is a play to make.
+type Setup struct {
 	Pattern Pattern
 	Policy  Policy
 	Seed    uint64
@@ -20,10 +20,10 @@
 	Recorder *recorder.Recorder
 }
 
-// Chamber makes plays in fake time, hands their results over, and ends the process:
+// PlayAll makes plays in fake time, hands their results over, and ends the process:
 // outside of tests the runtime offers fake time only to the function of a test, and
 // its runner ends with the process.
-func Chamber(plays []Plan, use func(results []Result) error) error {
+func PlayAll(plays []Setup, use func(results []Result) error) error {
 	quiet, err := os.OpenFile(os.DevNull, os.O_WRONLY, 0)
 	if err != nil {
 		return trace.ConvertSystemError(err)
--- a/internal/standin/modeller/modeller.go
+++ b/internal/standin/modeller/modeller.go
@@ -9,12 +9,12 @@
 // Play plays a pattern under a policy. It must run in fake time, where nothing else
 // runs. The same seed gives the same streams and troubles; what the product draws by
 // lot, its choices among equals, differs.
-func Play(plan Plan) Result {
-	p, seed := plan.Pattern, plan.Seed
+func Play(setup Setup) Result {
+	p, seed := setup.Pattern, setup.Seed
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var background, streams sync.WaitGroup
-	w := newWorld(plan)
+	w := newWorld(setup)
 	w.run(ctx, &background)
 	time.Sleep(seconds(p.LeadSeconds))
 	begun := time.Now()
@@ -30,5 +30,5 @@
 	background.Wait()
 	// What is on its way at engines and timers ends.
 	time.Sleep(time.Minute)
-	return judge(plan, begun, c.answers)
+	return judge(setup, begun, c.answers)
 }
--- a/internal/standin/modeller/modeller_test.go
+++ b/internal/standin/modeller/modeller_test.go
@@ -76,7 +76,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	synctest.Test(t, func(*testing.T) { r = Play(Plan{Pattern: p, Policy: policy, Seed: 1}) })
+	synctest.Test(t, func(*testing.T) { r = Play(Setup{Pattern: p, Policy: policy, Seed: 1}) })
 	if got := r.InAim + r.Late + r.Refused + r.Cut; got != r.Streams || r.Streams == 0 {
 		t.Errorf("got %d outcomes of %d streams", got, r.Streams)
 	}
--- a/internal/standin/modeller/result.go
+++ b/internal/standin/modeller/result.go
@@ -69,10 +69,10 @@
 }
 
 // judge counts answers.
-func judge(plan Plan, begun time.Time, answers []answer) Result {
-	p := plan.Pattern
+func judge(setup Setup, begun time.Time, answers []answer) Result {
+	p := setup.Pattern
 	r := Result{
-		Pattern: p.Name, Policy: plan.Policy.Name, Seed: plan.Seed, Streams: len(answers),
+		Pattern: p.Name, Policy: setup.Policy.Name, Seed: setup.Seed, Streams: len(answers),
 		Seconds: make([]Second, int(p.Seconds)+1),
 	}
 	var first, between, gap []time.Duration
--- a/internal/standin/modeller/world.go
+++ b/internal/standin/modeller/world.go
@@ -87,9 +87,9 @@
 }
 
 // newWorld builds the fleet of a pattern.
-func newWorld(plan Plan) *world {
+func newWorld(setup Setup) *world {
 	w := &world{
-		pattern: plan.Pattern, policy: plan.Policy, log: plan.Recorder, dice: rand.New(rand.NewPCG(plan.Seed, 1)), kinds: make(map[string]Kind),
+		pattern: setup.Pattern, policy: setup.Policy, log: setup.Recorder, dice: rand.New(rand.NewPCG(setup.Seed, 1)), kinds: make(map[string]Kind),
 		started: time.Now(), born: make(map[string]int64),
 	}
 	if w.log == nil {
@@ -97,11 +97,11 @@
 	}
 	w.equip()
 	law := emulator.Batches()
-	law.Seed, law.Load, law.LoadsAtOnce = plan.Seed, loadTime, loadsAtOnce
+	law.Seed, law.Load, law.LoadsAtOnce = setup.Seed, loadTime, loadsAtOnce
 	w.emu = emulator.New(law, w.engines)
 	w.configure(law)
 	w.register()
-	for _, c := range plan.Pattern.Centres {
+	for _, c := range setup.Pattern.Centres {
 		for range c.Nodes {
 			w.nodes = append(w.nodes, w.node(c.Name))
 		}
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -197,15 +197,15 @@
 	for _, p := range parts {
 		if h, ok := members.holder(p.ID); ok {
 			usual := members.service.Engine.ReadTime(h.kind, p.Last-p.First, tokens)
-			f.assessor.Reads(p.ID, time.Duration(float64(usual)*f.crowd(p.ID)))
+			f.assessor.Reads(p.ID, time.Duration(float64(usual)*f.readFactor(p.ID)))
 		}
 	}
 }
 
-// crowd is how many times longer an engine reads than this node's prompt takes on a
+// readFactor is how many times longer an engine reads than this node's prompt takes on a
 // usual one. A slow engine is short of time for all prompts, so that each of this node's
 // stands for those of the others, too, as their work there is to its own.
-func (f *Forwarder) crowd(id string) float64 {
+func (f *Forwarder) readFactor(id string) float64 {
 	rec := f.assessor.Record(id)
 	slowness := rec.Slowness(f.cfg.Now())
 	if slowness <= slowPace || rec.Tokens <= 0 {
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -142,7 +142,7 @@
 	for i, address := range s.cfg.Readers() {
 		var a ask
 		if i == 0 {
-			s.readBy(address)
+			s.setReader(address)
 			a = ask{report: s.cfg.Report(), whole: true}
 		}
 		if s.askPeer(ctx, address, a) {
@@ -152,9 +152,9 @@
 	grouper.Sleep(ctx, askInterval-peerTick)
 }
 
-// readBy takes in which node reads for this one. Another than before tells its whole
+// setReader takes in which node reads for this one. Another than before tells its whole
 // table: entries that the store dropped for a while may be gone from one table only.
-func (s *Syncer) readBy(address string) {
+func (s *Syncer) setReader(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.reader != address {
