Limit answers, events and replies that have no end

Cause: servers in trouble may send bytes that are no answer without an end, in a head or a body, until the caller closes. Heads of the platform's endpoints and store were read up to 10 MB, those of non-idempotent calls without a limit; an event of many short lines had no limit of size; each answer of a plain service could take 16 MB, so that a dozen at once exceeded the memory of a small VM and ended the process; bodies over the limit were cut in silence; comments and events without an ID counted as progress and were relayed; a stream without timeout whose request may not be sent again never ended.

Change: 64 KB a head, an event and an engine's failure reply; a pool of a fifth of the memory limit for all buffered answers; a body over its limit is an error; an event must have an ID that follows the last one, comments are dropped; 30 s without an event end an attempt. package bounder has the one copy of the bounded read.

Each test was seen failing with its mechanism off: MaxResponseHeaderBytes (10,666,924 bytes sent of a head, at most 6,356,992 allowed), the limit of the store's pages (134,217,728), the limit of heads in Once (33,554,455), the limit of events and the order of IDs (the test doesn't end), the failure reply (16,777,217 bytes read), the pool (33,554,434), the end of silent attempts (doesn't end), comments (a sound stream was cut).

Ruled out: limits on the whole stream, as sound ones have any length.

--- a/internal/driver/engine.go
+++ b/internal/driver/engine.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"banyanquay/internal/bounder"
 )
 
 // Limits of one request to an endpoint.
@@ -107,7 +109,7 @@
 		return out, trace.ConnectionProblem(err, "calling %s %s at %s", method, path, address)
 	}
 	defer resp.Body.Close()
-	body, err := readBounded(resp.Body, limit)
+	body, err := bounder.ReadAll(resp.Body, int64(limit))
 	if err != nil {
 		return out, trace.ConnectionProblem(err, "reading the answer to %s %s from %s", method, path, address)
 	}
@@ -145,18 +147,6 @@
 	return struct{ io.Reader }{bytes.NewReader(body)}
 }
 
-// readBounded reads a whole body and fails if it is longer than limit bytes.
-func readBounded(r io.Reader, limit int) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, int64(limit)+1))
-	if err != nil {
-		return nil, err
-	}
-	if len(body) > limit {
-		return nil, trace.LimitExceeded("the answer is longer than %d bytes", limit)
-	}
-	return body, nil
-}
-
 // responseError converts a response with a status other than 200 into an error. It
 // is *Refused if the endpoint itself declares that it did not run the request.
 func responseError(status int, body []byte, address string) error {
--- a/internal/driver/once.go
+++ b/internal/driver/once.go
@@ -4,12 +4,13 @@
 	"bufio"
 	"context"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"banyanquay/internal/bounder"
 )
 
 // maxProbeBytes bounds the response body of a probe.
@@ -51,7 +52,8 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "dialling %s", address)
 	}
-	conn := &probedConn{Conn: raw, r: bufio.NewReader(raw)}
+	conn := &probedConn{Conn: raw}
+	conn.r = bufio.NewReader(conn)
 	stop := conn.abortOnDone(ctx)
 	err = conn.probe(ctx, address)
 	if !stop() && err == nil {
@@ -71,6 +73,24 @@
 	r *bufio.Reader
 	// written is the number of bytes accepted by the kernel since the last reset.
 	written int
+	// headLimited is set while the head of a response is read, and headLeft is then
+	// the number of bytes that may still be read.
+	headLimited bool
+	headLeft    int
+}
+
+// Read reads from the connection, and fails once the head of a response is longer
+// than maxHeaderBytes.
+func (c *probedConn) Read(data []byte) (int, error) {
+	if !c.headLimited {
+		return c.Conn.Read(data)
+	}
+	if c.headLeft <= 0 {
+		return 0, trace.LimitExceeded("the head of the response is longer than %d bytes", maxHeaderBytes)
+	}
+	n, err := c.Conn.Read(data[:min(len(data), c.headLeft)])
+	c.headLeft -= n
+	return n, err
 }
 
 // Write counts the bytes that may have been sent.
@@ -103,7 +123,7 @@
 		return trace.Wrap(err, "waiting for the status")
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbeBytes))
+	body, err := bounder.ReadAll(resp.Body, maxProbeBytes)
 	if err != nil {
 		return trace.Wrap(err, "reading the status")
 	}
@@ -140,6 +160,8 @@
 
 // receive reads the header of the final response and skips interim (1xx) responses.
 func (c *probedConn) receive(req *http.Request) (*http.Response, error) {
+	c.headLimited, c.headLeft = true, maxHeaderBytes
+	defer func() { c.headLimited = false }()
 	for {
 		resp, err := http.ReadResponse(c.r, req)
 		if err != nil {
--- a/internal/driver/service.go
+++ b/internal/driver/service.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"banyanquay/internal/bounder"
 )
 
 // Headers that the router sets for services that check them.
@@ -115,7 +117,7 @@
 // newAnswer reads the whole response and closes its body.
 func newAnswer(resp *http.Response, address string) (Answer, error) {
 	defer resp.Body.Close()
-	body, err := readBounded(resp.Body, maxBodyBytes)
+	body, err := bounder.ReadAll(resp.Body, maxBodyBytes)
 	if err != nil {
 		return Answer{}, trace.ConnectionProblem(err, "reading the answer from %s", address)
 	}
--- a/internal/provider/client.go
+++ b/internal/provider/client.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,12 +11,14 @@
 
 	"github.com/gravitational/trace"
 
+	"banyanquay/internal/bounder"
 	"banyanquay/internal/encoder"
 )
 
 // Limits of one request to the platform.
 const (
 	maxPageBytes   = 64 << 20
+	maxHeadBytes   = 64 << 10
 	requestTimeout = 5 * time.Second
 )
 
@@ -38,8 +39,9 @@
 func New(cfg Config) *Client {
 	if cfg.HTTP == nil {
 		cfg.HTTP = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: 16,
-			IdleConnTimeout:     30 * time.Second,
+			MaxResponseHeaderBytes: maxHeadBytes,
+			MaxIdleConnsPerHost:    16,
+			IdleConnTimeout:        30 * time.Second,
 		}}
 	}
 	return &Client{cfg: cfg}
@@ -115,7 +117,7 @@
 		return nil, trace.ConnectionProblem(err, "calling the platform")
 	}
 	defer resp.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxPageBytes))
+	body, err := bounder.ReadAll(resp.Body, maxPageBytes)
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "reading the platform's answer")
 	}
--- a/internal/supervisor/forwarder/events.go
+++ b/internal/supervisor/forwarder/events.go
@@ -5,12 +5,14 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 
 	"github.com/gravitational/trace"
 )
 
-// maxEventBytes limits the size of one event of a stream.
-const maxEventBytes = 1 << 20
+// maxEventBytes limits the size of one event of a stream. Events have on the order of
+// a hundred bytes, and a node buffers one for each of its streams.
+const maxEventBytes = 64 << 10
 
 // event is one event of a stream as the endpoint wrote it, with the blank line that
 // ends it.
@@ -18,27 +20,45 @@
 	data []byte
 	// id is empty if the event has none.
 	id string
+	// empty is set if the event has only blank lines and comments.
+	empty bool
 }
 
 var (
 	idField          = []byte("id:")
+	comment          = byte(':')
 	newline          = byte('\n')
 	errTruncated     = trace.BadParameter("the stream ended within an event")
 	errEventTooLarge = trace.LimitExceeded("an event exceeds %d bytes", maxEventBytes)
+	errNotInOrder    = trace.BadParameter("an event has no ID, or none that follows the last one")
 )
 
+// follows reports whether an event's ID may come after that of the previous event,
+// which is empty if there is none. IDs increase.
+func follows(previous, id string) bool {
+	if id == "" {
+		return false
+	}
+	before, err1 := strconv.ParseUint(previous, 10, 64)
+	after, err2 := strconv.ParseUint(id, 10, 64)
+	if err1 != nil || err2 != nil {
+		return id != previous
+	}
+	return after > before
+}
+
 // nextEvent reads an event into buf. It returns io.EOF at the end of the stream,
 // and errTruncated for a stream that ends within an event.
 func nextEvent(r *bufio.Reader, buf []byte) (event, error) {
-	e := event{data: buf[:0]}
+	e := event{data: buf[:0], empty: true}
+	start := 0
 	for {
-		start := len(e.data)
 		line, err := r.ReadSlice(newline)
 		e.data = append(e.data, line...)
+		if len(e.data) > maxEventBytes {
+			return e, errEventTooLarge
+		}
 		if errors.Is(err, bufio.ErrBufferFull) {
-			if len(e.data) > maxEventBytes {
-				return e, errEventTooLarge
-			}
 			continue
 		}
 		if err != nil {
@@ -48,9 +68,11 @@
 			return e, err
 		}
 		text := bytes.TrimRight(e.data[start:], "\r\n")
+		start = len(e.data)
 		if len(text) == 0 {
 			return e, nil
 		}
+		e.empty = e.empty && text[0] == comment
 		if id, ok := bytes.CutPrefix(text, idField); ok {
 			e.id = string(bytes.TrimPrefix(id, []byte(" ")))
 		}
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"banyanquay/internal/bounder"
 	"banyanquay/internal/counter"
 	"banyanquay/internal/driver"
 	"banyanquay/internal/mapper"
@@ -44,6 +45,9 @@
 	Endpoints func() *registrar.Table
 	// Relay calls endpoints.
 	Relay driver.Relay
+	// BufferBytes limits the memory of all answers that are buffered at once; 0 means
+	// defaultBufferBytes.
+	BufferBytes int64
 	// Budget is the retry budget.
 	Budget *budgeter.Budgeter
 	// Centre is this node's data centre.
@@ -81,6 +85,7 @@
 // Forwarder forwards requests. It is safe for concurrent use.
 type Forwarder struct {
 	cfg      Config
+	buffers  *bounder.Pool
 	assessor *assessor.Assessor
 	prober   *prober
 	monitor  *monitor
@@ -92,7 +97,10 @@
 	if cfg.Find == nil {
 		cfg.Find = pathfinder.Find
 	}
-	f := &Forwarder{cfg: cfg, assessor: assessor.New(cfg.Now)}
+	if cfg.BufferBytes <= 0 {
+		cfg.BufferBytes = defaultBufferBytes
+	}
+	f := &Forwarder{cfg: cfg, buffers: bounder.NewPool(cfg.BufferBytes), assessor: assessor.New(cfg.Now)}
 	f.monitor = newMonitor(f)
 	f.prober = newProber(cfg.Relay.Probe, cfg.Now, f.monitor.pausedSince)
 	return f
@@ -144,6 +152,8 @@
 	runs  int
 	// failure is the last reply of an engine that ran the request and failed.
 	failure *failure
+	// releases return the memory of the answers that were buffered for the request.
+	releases []func()
 	// answered is set once the head of an answer has been written.
 	answered bool
 	// status is the HTTP status of the answer. firstWrite is when the first event of a
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -13,6 +13,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"banyanquay/internal/bounder"
 	"banyanquay/internal/driver"
 	"banyanquay/internal/grouper"
 	"banyanquay/internal/recorder"
@@ -35,6 +36,8 @@
 	// be leaving without this node's knowledge.
 	overloadBackoff      = 150 * time.Millisecond
 	maxOverloadDoublings = 4
+	// maxFailureBytes limits the size of a failure reply that is kept for the caller.
+	maxFailureBytes = 64 << 10
 	// budgetTimeout is how long a stream in progress waits for a retry from the
 	// budget: callers disconnect after two seconds without an event.
 	// budgetPollInterval is how often it polls the budget.
@@ -46,6 +49,7 @@
 
 // Causes with which the context of an attempt is cancelled.
 var (
+	errSilent   = trace.ConnectionProblem(nil, "no event for %v", maxSilence)
 	errStalled  = trace.ConnectionProblem(nil, "no progress")
 	errEnded    = trace.ConnectionProblem(nil, "the attempt ended")
 	errDeadline = trace.LimitExceeded("the deadline of the request has passed")
@@ -271,7 +275,7 @@
 // attemptFailed handles a reply that is not a stream: the engine ran the request
 // and failed. The reply is kept for the caller in case no other engine does better.
 func (f *Forwarder) attemptFailed(c *call, s *session, reply driver.Reply, began time.Time) error {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes))
+	body, err := bounder.ReadAll(reply.Body, maxFailureBytes)
 	first := s.snapshot().first()
 	f.assessor.Failed(first.ID)
 	f.countRun(c, s, first.Address)
@@ -307,6 +311,12 @@
 		if ctx.Err() != nil {
 			return context.Cause(ctx)
 		}
+		if e.empty {
+			continue // keeps the connection open and is no progress
+		}
+		if !follows(c.lastEventID, e.id) {
+			return errNotInOrder
+		}
 		if !c.answered {
 			c.writeHead(f, s, reply)
 		}
@@ -316,9 +326,7 @@
 		if err := out.Flush(); err != nil {
 			return trace.ConnectionProblem(err, "writing to the caller")
 		}
-		if e.id != "" {
-			c.lastEventID = e.id
-		}
+		c.lastEventID = e.id
 		s.recordEvent(f.cfg.Now())
 	}
 }
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -64,6 +64,9 @@
 	probeRate    = 400
 	reportRate   = 30
 	burstSeconds = 2
+	// maxSilence is the silence after which an attempt ends whatever the cause is, also
+	// if its request can't be sent again. Bytes that are no event don't end a silence.
+	maxSilence = 30 * time.Second
 	// changePathTimeout is the timeout of an order to change a path.
 	changePathTimeout = 150 * time.Millisecond
 )
@@ -141,6 +144,7 @@
 	if !m.recordTick(now) {
 		return
 	}
+	m.endSilent(now)
 	for _, s := range m.markStalled(now) {
 		go m.recoverStream(s)
 	}
@@ -170,6 +174,17 @@
 	return m.lastPause.After(since) || m.f.cfg.Now().Sub(m.lastTick) >= pauseThreshold
 }
 
+// endSilent ends the attempts that have been silent for too long.
+func (m *monitor) endSilent(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for s := range m.sessions {
+		if state := s.snapshot(); state.cancel != nil && now.Sub(state.lastProgress) >= maxSilence {
+			state.cancel(errSilent)
+		}
+	}
+}
+
 // markStalled marks the stalled streams for recovery and returns them.
 func (m *monitor) markStalled(now time.Time) []*session {
 	m.mu.Lock()
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"banyanquay/internal/driver"
@@ -21,8 +20,11 @@
 
 const (
 	// maxAnswerBytes limits the size of an answer, which is buffered until it is known
-	// to be complete: about fifteen at once fit in a node's memory.
+	// to be complete. All answers that are buffered at once are limited by
+	// Config.BufferBytes.
 	maxAnswerBytes = 16 << 20
+	// defaultBufferBytes replaces Config.BufferBytes if that is not set.
+	defaultBufferBytes = 64 << 20
 	// attemptTargetShare is the share of a route's target that one attempt of a
 	// repeatable request may take while other attempts are left.
 	attemptTargetShare = 0.8
@@ -62,6 +64,11 @@
 // servePlain runs a request at an endpoint of a plain service, and at others while
 // it may be retried.
 func (f *Forwarder) servePlain(c *call) {
+	defer func() {
+		for _, release := range c.releases {
+			release()
+		}
+	}()
 	// The last deliverable answer is kept for the case that the last attempt has none.
 	var last, kept outcome
 	var lastEndpoint, keptEndpoint registrar.Entry
@@ -204,10 +211,8 @@
 		return outcome{err: err, notRun: errors.As(err, &unsent)}
 	}
 	defer reply.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxAnswerBytes+1))
-	if err == nil && len(body) > maxAnswerBytes {
-		err = trace.LimitExceeded("the answer exceeds %d bytes", maxAnswerBytes)
-	}
+	body, release, err := f.buffers.ReadAll(reply.Body, maxAnswerBytes)
+	c.releases = append(c.releases, release)
 	return outcome{reply: reply, body: body, err: err, notRun: reply.NotRun}
 }
 
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -66,11 +66,10 @@
 	}
 }
 
-// newHarness returns a forwarder whose configuration was confirmed just now.
-func newHarness(t *testing.T, relay driver.Relay, entries ...registrar.Entry) *harness {
-	w := &harness{t: t, latencies: counter.NewLatencies(), counters: counter.New(), retrySlack: 200}
-	w.view = View{Confirmed: time.Now(), Configuration: mapper.New(mapper.Draft{
-		Version: 1, Routes: routes(), KeyRequired: true,
+// newConfiguration returns a configuration with a plain service and one of engines.
+func newConfiguration(routes []mapper.Route) *mapper.Configuration {
+	return mapper.New(mapper.Draft{
+		Version: 1, Routes: routes, KeyRequired: true,
 		Organisations: map[string]mapper.Organisation{secret: {Name: "org"}},
 		Services: []mapper.Service{{Name: "desk"}, {Name: "llm", Engine: &mapper.Engine{
 			Slots: 192, Layers: 80, LayerMB: 1750, CacheBytes: 426000, Step: 850 * time.Microsecond, TokensPerEvent: 2,
@@ -78,7 +77,13 @@
 				{Name: "l4", MB: 80000, Pace: 16, PrefillPace: 8.2}, {Name: "fast", MB: 80000, Pace: 8, PrefillPace: 4},
 			},
 		}}},
-	})}
+	})
+}
+
+// newHarness returns a forwarder whose configuration was confirmed just now.
+func newHarness(t *testing.T, relay driver.Relay, entries ...registrar.Entry) *harness {
+	w := &harness{t: t, latencies: counter.NewLatencies(), counters: counter.New(), retrySlack: 200}
+	w.view = View{Confirmed: time.Now(), Configuration: newConfiguration(routes())}
 	changes := make([]registrar.Change, 0, len(entries))
 	for _, e := range entries {
 		changes = append(changes, registrar.Change{ID: e.ID, Entry: &e})
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -50,6 +50,8 @@
 	// softMemoryRatio is the part of the memory limit that the Go runtime may use
 	// before it collects garbage more often.
 	softMemoryRatio = 0.7
+	// bufferMemoryRatio is the part of the memory limit that buffered answers may use.
+	bufferMemoryRatio = 0.2
 	// frontendHeaderTimeout and frontendIdleTimeout apply to callers' connections
 	// regardless of the configuration, which is read only after the listener has
 	// started.
@@ -195,6 +197,7 @@
 	})
 	r.forwarder = forwarder.New(forwarder.Config{
 		Decode: p.DecodeRequest, View: r.syncer.View, Endpoints: r.syncer.Table, Relay: p.Relay,
+		BufferBytes:        int64(bufferMemoryRatio * float64(s.Relay.MemoryMB) * (1 << 20)),
 		Budget:             r.budget,
 		Centre:             s.Centre,
 		MaxConfirmationAge: func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
