Answer queries between nodes that have no body

Cause: a connection counted as a query if the body was not nil, and the holder of the lead asks other nodes without one. The other node answered with its own hello message, whose decoding failed, so a holder that the store rejects ordered nothing until the store served it again. The elector's tests replace the query by a function, so none saw it.

Ruled out: the other nodes' calls to the store (they answered others), timeouts (the answer came within 5 ms).

Change: the subject marks a query; the body is never nil, so that earlier builds answer, too. TestQueryWithoutBody fails without the change: 'cannot decode CBOR array to struct with different number of elements'.

--- a/internal/supervisor/linker/dialler.go
+++ b/internal/supervisor/linker/dialler.go
@@ -26,12 +26,16 @@
 	_           struct{} `cbor:",toarray"`
 	Address     string
 	Incarnation string
-	// Query is set on a connection that carries one query and one answer instead of
-	// frames, and Subject selects its handler.
+	// Subject is set on a connection that carries one query and one answer instead of
+	// frames, and selects the handler of Query. Earlier builds take a message whose
+	// Query is nil for the start of a link.
 	Query   []byte
 	Subject Subject
 }
 
+// isQuery reports whether the message is a query, and not the start of a link.
+func (h hello) isQuery() bool { return h.Subject != 0 }
+
 // answer is the reply to a query.
 type answer struct {
 	_     struct{} `cbor:",toarray"`
@@ -110,7 +114,7 @@
 	}
 	defer conn.Close()
 	h := l.hello()
-	h.Query, h.Subject = query, subject
+	h.Query, h.Subject = append([]byte{}, query...), subject
 	reply, err := exchange[answer](ctx, conn, h)
 	if err != nil {
 		return nil, trace.Wrap(err, "querying node %s", address)
@@ -155,7 +159,7 @@
 	}
 	defer l.running.Done()
 	peer, err := l.acceptHello(ctx, conn)
-	if err != nil || peer.Query != nil {
+	if err != nil || peer.isQuery() {
 		return err
 	}
 	s, err := l.add(conn, peer, false)
@@ -183,7 +187,7 @@
 	if peer.Address == l.cfg.Address || peer.Address == "" {
 		return hello{}, trace.BadParameter("invalid peer address %q", peer.Address)
 	}
-	if peer.Query != nil {
+	if peer.isQuery() {
 		data, err = encoder.CBOR(l.answerQuery(peer))
 	} else {
 		data, err = encoder.CBOR(l.hello())
--- a/internal/supervisor/linker/linker_test.go
+++ b/internal/supervisor/linker/linker_test.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// A query may have no body: a node whose calls the store rejects asks others who leads
+// without one. It must not be taken for the start of a link.
+func TestQueryWithoutBody(t *testing.T) {
+	a, b := startNode(t, "a1", "secret"), startNode(t, "b1", "secret")
+	for _, query := range [][]byte{nil, {}} {
+		if got, err := a.Query(t.Context(), b.address, Drains, query); err != nil || string(got) != "answer to " {
+			t.Errorf("query %#v: got %q and error %v, want the answer", query, got, err)
+		}
+	}
+}
+
 func TestWrongSecretIsForbidden(t *testing.T) {
 	a, b := startNode(t, "a1", "secret"), startNode(t, "b1", "other")
 	if got, err := a.Query(t.Context(), b.address, Drains, []byte("q")); err == nil {
