Place further holders where a data centre's layers have the fewest

No data centre lacks a layer, but fortaleza-b had two holders of layer 0 (one slow, one ended) and four of layers 1 to 6, so its 196 streams had room for half of them at one engine. Its nodes chose the fastest paths elsewhere, whose loads they don't know, and three engines refused 750 requests in 5 s. The gain of a third holder of a layer (3.3 against 2.5 for a fourth) was below that of meeting another range (5 an end).

Ruled out: missing layers (none by the tables), slow detection (all nodes suspected the ended engines within 0.5 s), the retry budget alone.

Change: the gain of a holder falls with the square of those that the layer has.

TestPlanLevelsHolders fails without the change in three of five cases (fewest 2, mean 4.46).

Assigning all empty engines again until none gains: one or two layers level out further, not worth its lines.

--- a/internal/supervisor/arranger/plan.go
+++ b/internal/supervisor/arranger/plan.go
@@ -39,9 +39,12 @@
 	// secondGain is for a second holder in the data centre, so that the loss of one
 	// engine leaves a path inside it.
 	secondGain = 100.0
-	// spareGain is divided by the number of holders that the layer has in the data
-	// centre and, with less weight, in all data centres.
-	spareGain = 10.0
+	// spareGain is divided by the square of the number of holders that the layer has in
+	// the data centre: its layer with the fewest holders limits how many requests a
+	// data centre has room for. fleetGain is divided by the number of holders in all data
+	// centres.
+	spareGain = 60.0
+	fleetGain = 10.0
 	// alignedGain is for each end of the range that meets the end of another range,
 	// which keeps paths short.
 	alignedGain = 5.0
@@ -195,7 +198,8 @@
 		case 1:
 			sum += secondGain
 		}
-		sum += spareGain/float64(1+held[l]) + spareGain/float64(2+p.all[l])
+		holders := float64(max(held[l], 1))
+		sum += spareGain/(holders*holders) + fleetGain/float64(2+p.all[l])
 	}
 	ends := p.ends[centre]
 	if ends[first] {
--- a/internal/supervisor/arranger/plan_test.go
+++ b/internal/supervisor/arranger/plan_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -120,3 +121,32 @@
 
 // always allows the layers of any data centre to be reassigned.
 func always(string) bool { return true }
+
+// Engines of several data centres end together, on days of high load. What a data
+// centre has room for is limited by its layer with the fewest holders, so that none
+// may have far fewer than the mean.
+func TestPlanLevelsHolders(t *testing.T) {
+	cases := map[string][]Holder{
+		"few fast engines":  fleet("a", 4, 11, 18),
+		"many mid engines":  fleet("b", 2, 27, 16),
+		"many small":        fleet("c", 3, 16, 28),
+		"mixed":             fleet("d", 5, 11, 19),
+		"small data centre": fleet("e", 2, 5, 8),
+	}
+	for name, holders := range cases {
+		t.Run(name, func(t *testing.T) {
+			const layers = 80
+			held, sum := make([]int, layers), 0
+			for _, r := range Plan(layers, holders, func(string) bool { return false }) {
+				for l := r.First; l < r.Last; l++ {
+					held[l]++
+					sum++
+				}
+			}
+			mean := float64(sum) / layers
+			if got, want := float64(slices.Min(held)), mean-1.5; got <= want {
+				t.Errorf("fewest holders of a layer: got %v, want more than %.2f, the mean being %.2f: %v", got, want, mean, held)
+			}
+		})
+	}
+}
