Reserve retries for streams whose callers have events

Cause: engines without free memory refuse new requests; the retries of these use up the budget that all share, and a stream that loses an engine in that second is broken off though its caller has part of the answer.

Change: two fifths of the budget are for requests whose answer has begun.

TestRetriesAreReservedForBegunAnswers covers the pattern.

--- a/internal/supervisor/forwarder/budgeter/budgeter.go
+++ b/internal/supervisor/forwarder/budgeter/budgeter.go
@@ -16,6 +16,9 @@
 	// because requests are counted when they arrive at this node, not when they were
 	// sent.
 	safetyFactor = 0.8
+	// reservedShare is the part of the budget that only requests whose answer has begun
+	// may use: their callers would lose what they have, and the others may return.
+	reservedShare = 0.4
 	// renewInterval is how long an allowance is valid. It is longer than nodes take
 	// to exchange what they have spent, so that together they never exceed the
 	// budget.
@@ -62,11 +65,31 @@
 	// slot is the number of the current slot since the Unix epoch.
 	slot  int64
 	spent [slots]Usage
-	// allowance is how many retries may still be sent until it is renewed.
+	// allowance is how many retries may still be sent until it is renewed, and reserved
+	// how many of these only requests whose answer has begun may use.
 	allowance float64
+	reserved  float64
 	renewedAt time.Time
 }
 
+// take reports whether a retry is left for a request, and takes it.
+func (c *usageWindow) take(begun bool) bool {
+	if !c.allows(begun) {
+		return false
+	}
+	c.allowance--
+	c.spent[c.slot%slots].Retries++
+	return true
+}
+
+// allows reports whether a retry is left for a request.
+func (c *usageWindow) allows(begun bool) bool {
+	if begun {
+		return c.allowance >= 1
+	}
+	return c.allowance >= 1+c.reserved
+}
+
 // New returns a Budgeter.
 func New(cfg Config) *Budgeter {
 	if cfg.Started.IsZero() {
@@ -120,12 +143,13 @@
 		// Without reports of all other nodes, a node uses no more than its equal
 		// part. Nodes that have reports of different others would otherwise both
 		// spend the same remainder.
-		remaining := safetyFactor*(ratio*float64(own.Requests)+slack/float64(nodes)) - float64(own.Retries)
-		c.allowance = max(remaining, 0)
+		budget := safetyFactor * (ratio*float64(own.Requests) + slack/float64(nodes))
+		c.allowance, c.reserved = max(budget-float64(own.Retries), 0), reservedShare*budget
 		return
 	}
-	remaining := safetyFactor*(ratio*float64(own.Requests+others.Requests)+slack) - float64(own.Retries+others.Retries)
-	c.allowance = max(remaining, 0) / float64(nodes)
+	budget := safetyFactor * (ratio*float64(own.Requests+others.Requests) + slack)
+	c.allowance = max(budget-float64(own.Retries+others.Retries), 0) / float64(nodes)
+	c.reserved = reservedShare * budget / float64(nodes)
 }
 
 // Request counts a caller's request to a service.
@@ -136,27 +160,23 @@
 	c.spent[c.slot%slots].Requests++
 }
 
-// TakeRetry takes one retry out of the budget, and reports whether there was one.
-func (b *Budgeter) TakeRetry(service string) bool {
+// TakeRetry takes one retry out of the budget, and reports whether there was one. begun
+// is set for a request whose answer has begun.
+func (b *Budgeter) TakeRetry(service string, begun bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.current(service)
 	b.renew(service, c)
-	if c.allowance < 1 {
-		return false
-	}
-	c.allowance--
-	c.spent[c.slot%slots].Retries++
-	return true
+	return c.take(begun)
 }
 
 // CanRetry reports whether TakeRetry would succeed now.
-func (b *Budgeter) CanRetry(service string) bool {
+func (b *Budgeter) CanRetry(service string, begun bool) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.current(service)
 	b.renew(service, c)
-	return c.allowance >= 1
+	return c.allows(begun)
 }
 
 // Usage returns what this node has sent in the last window, by service.
--- a/internal/supervisor/forwarder/budgeter/budgeter_test.go
+++ b/internal/supervisor/forwarder/budgeter/budgeter_test.go
@@ -57,7 +57,7 @@
 	c := newCluster(7, 0.2, 198)
 	for range 20 {
 		for _, b := range c.nodes {
-			for b.TakeRetry("s") {
+			for b.TakeRetry("s", true) {
 			}
 		}
 		c.exchange()
@@ -78,7 +78,7 @@
 	c := newCluster(7, 0.2, 198)
 	granted := 0
 	for range 6 {
-		for c.nodes[0].TakeRetry("s") {
+		for c.nodes[0].TakeRetry("s", true) {
 			granted++
 		}
 		c.exchange()
@@ -100,7 +100,7 @@
 	now = now.Add(window)
 	granted := 0
 	for range 40 {
-		for b.TakeRetry("s") {
+		for b.TakeRetry("s", true) {
 			granted++
 		}
 		now = now.Add(renewInterval / 2)
@@ -140,7 +140,7 @@
 			for range 2 {
 				b.Request("s")
 			}
-			for b.TakeRetry("s") {
+			for b.TakeRetry("s", true) {
 			}
 			spent[i] = b.Usage()["s"]
 			total.Requests += spent[i].Requests
@@ -159,7 +159,7 @@
 	c := newCluster(7, 0.2, 198)
 	total := 0
 	for _, b := range c.nodes {
-		for b.TakeRetry("s") {
+		for b.TakeRetry("s", true) {
 			total++
 		}
 	}
@@ -170,7 +170,7 @@
 	}
 	for range 5 {
 		for _, b := range c.nodes {
-			for b.TakeRetry("s") {
+			for b.TakeRetry("s", true) {
 				total++
 			}
 		}
@@ -181,3 +181,34 @@
 		t.Errorf("retries in the window around the restart: got %d, want at most %d", got, want)
 	}
 }
+
+// Engines without free memory refuse new requests, whose retries would use up the
+// budget. Streams in progress that lose an engine meanwhile must still find retries.
+func TestRetriesAreReservedForBegunAnswers(t *testing.T) {
+	c := newCluster(5, 0.2, 100)
+	fresh, begun := 0, 0
+	for range 10 {
+		for _, b := range c.nodes {
+			for b.TakeRetry("s", false) {
+				fresh++
+			}
+		}
+		c.exchange()
+		c.now = c.now.Add(renewInterval)
+	}
+	for _, b := range c.nodes {
+		if b.CanRetry("s", false) {
+			t.Errorf("a new request: got a retry beyond its part")
+		}
+		for b.TakeRetry("s", true) {
+			begun++
+		}
+	}
+	budget := safetyFactor * 100
+	if got, want := float64(fresh), (1-reservedShare)*budget; got > want {
+		t.Errorf("retries of new requests: got %v, want at most %v", got, want)
+	}
+	if got, want := float64(begun), reservedShare*budget-float64(len(c.nodes)); got < want {
+		t.Errorf("retries of begun answers: got %v, want at least %v, less one a node", got, want)
+	}
+}
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -108,7 +108,7 @@
 func (f *Forwarder) takeRetry(c *call) bool {
 	deadline := f.cfg.Now().Add(budgetTimeout)
 	for {
-		if f.cfg.Budget.TakeRetry(c.service) {
+		if f.cfg.Budget.TakeRetry(c.service, c.answered) {
 			return true
 		}
 		if !c.answered || f.cfg.Now().After(deadline) || !grouper.Sleep(c.r.Context(), budgetPollInterval) {
--- a/internal/supervisor/forwarder/move.go
+++ b/internal/supervisor/forwarder/move.go
@@ -60,7 +60,7 @@
 	if f.prober.stopped(state.first().Address) {
 		runs--
 	}
-	return runs < c.route.Attempts && f.cfg.Budget.CanRetry(c.service)
+	return runs < c.route.Attempts && f.cfg.Budget.CanRetry(c.service, state.events > 0)
 }
 
 // restartImproves reports whether a restart is likely to help a stream: an engine of
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -77,7 +77,7 @@
 		if !ok {
 			break
 		}
-		if c.sends > 0 && !f.cfg.Budget.TakeRetry(c.service) {
+		if c.sends > 0 && !f.cfg.Budget.TakeRetry(c.service, false) {
 			f.cfg.Counters.Retries.Add("budget_spent", 1)
 			break
 		}
