Let a fleet that starts make fewer calls to the store

Each node that started made six: two lists of nodes, its announcement, the configuration, the endpoints, and who leads.

Change: a node that restarts finds its announcement in the list, adds none and reads no second one; one that knows 16 nodes over links reads no second list, either. Who leads is read by the seeds while the nodes start, then by three candidates.

Ruled out: learning the configuration and the endpoints from neighbours at the start. It would save two calls a node; the seeds, on links of 20 Mbit/s, would answer some 60 nodes each with all endpoints while the fleet recovers.

--- a/internal/supervisor/announcer/announcer.go
+++ b/internal/supervisor/announcer/announcer.go
@@ -22,11 +22,12 @@
 	// maxListAge is how long a list is served from the cache. A cached list lacks
 	// nodes that start later, but those find this node in their own lists.
 	maxListAge = time.Minute
-	// maxEarlyListAge is how long each of the first earlyReads lists is served from the
-	// cache. All nodes start together, so the first list is short and soon out of date.
+	// maxEarlyListAge is how long a list is served from the cache while this node's
+	// announcement is under way. All nodes start together, so such a list is short.
 	maxEarlyListAge = 2 * time.Second
-	// earlyReads is the number of lists that are cached for maxEarlyListAge only.
-	earlyReads = 1
+	// enoughNodes is the number of nodes known over links from which any list is served
+	// for maxListAge: the others become known over links, too.
+	enoughNodes = 16
 )
 
 // Config identifies the node and holds what it needs to announce itself.
@@ -40,7 +41,9 @@
 	// Seeds are configured addresses of nodes. They may be out of date. Every list
 	// includes them, and they are the only nodes known until the store has been
 	// read once.
-	Seeds    []string
+	Seeds []string
+	// Known returns how many nodes are known over links.
+	Known    func() int
 	Now      func() time.Time
 	Recorder *recorder.Recorder
 }
@@ -55,10 +58,17 @@
 type Announcer struct {
 	cfg Config
 
+	// reading serializes the reads of the list.
+	reading sync.Mutex
+
 	mu     sync.Mutex
 	cached []provider.VM
 	readAt time.Time
 	reads  int
+	// listed is set if the last list had this node's own announcement, and announced
+	// once the store has accepted it.
+	listed    bool
+	announced bool
 }
 
 // New returns an announcer.
@@ -66,7 +76,8 @@
 	return &Announcer{cfg: cfg}
 }
 
-// Step publishes the announcement, retrying until the store has accepted it once.
+// Step publishes the announcement if the store doesn't have it from an earlier start,
+// retrying until the store has answered.
 func (a *Announcer) Step() grouper.Step {
 	return grouper.Step{Name: "announcer", Run: a.run}
 }
@@ -77,7 +88,10 @@
 		return err
 	}
 	for ctx.Err() == nil {
-		_, err := a.cfg.Topics.Append(ctx, a.cfg.Topic, a.cfg.Address, data)
+		_, err := a.read(ctx)
+		if err == nil && !a.isListed() {
+			err = a.announce(ctx, data)
+		}
 		if err == nil {
 			break
 		}
@@ -88,26 +102,74 @@
 	return nil
 }
 
+// announce publishes the announcement.
+func (a *Announcer) announce(ctx context.Context, data []byte) error {
+	if _, err := a.cfg.Topics.Append(ctx, a.cfg.Topic, a.cfg.Address, data); err != nil {
+		return err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.announced = true
+	return nil
+}
+
 // List returns the list of the announced nodes and the seeds.
 func (a *Announcer) List() provider.List {
 	return provider.List{VMs: a.list}
 }
 
+// list returns the cached list if it is recent enough, else a new one. Until a list
+// has been read it consists of the seeds.
 func (a *Announcer) list(ctx context.Context) ([]provider.VM, error) {
+	vms, err := a.read(ctx)
+	if err == nil {
+		return vms, nil
+	}
 	a.mu.Lock()
-	cached, age, reads := a.cached, a.cfg.Now().Sub(a.readAt), a.reads
+	reads := a.reads
 	a.mu.Unlock()
-	if reads > 0 && age < maxEarlyListAge || reads > earlyReads && age < maxListAge {
-		return cached, nil
-	}
-	items, err := a.cfg.Topics.Newest(ctx, a.cfg.Topic)
-	if err != nil && reads == 0 && len(a.cfg.Seeds) > 0 {
+	if reads == 0 && len(a.cfg.Seeds) > 0 {
 		a.cfg.Recorder.Warn(recorder.StoreUnreachable, zap.String("what", "nodes"), zap.Error(err))
 		return a.withSeeds(nil), nil
 	}
+	return nil, err
+}
+
+// current returns the cached list, and whether it is recent enough. The lists of a
+// fleet that starts for the first time are short until this node is listed itself.
+func (a *Announcer) current() ([]provider.VM, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	maxAge := maxListAge
+	switch {
+	case a.listed || a.cfg.Known() >= enoughNodes:
+	case a.announced:
+		maxAge = 0
+	default:
+		maxAge = maxEarlyListAge
+	}
+	return a.cached, a.reads > 0 && a.cfg.Now().Sub(a.readAt) < maxAge
+}
+
+// isListed reports whether the last list had this node's announcement.
+func (a *Announcer) isListed() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.listed
+}
+
+// read returns the list, from the store if the cached one is too old.
+func (a *Announcer) read(ctx context.Context) ([]provider.VM, error) {
+	a.reading.Lock()
+	defer a.reading.Unlock()
+	if vms, ok := a.current(); ok {
+		return vms, nil
+	}
+	items, err := a.cfg.Topics.Newest(ctx, a.cfg.Topic)
 	if err != nil {
 		return nil, err
 	}
+	listed := false
 	vms := make([]provider.VM, 0, len(items.Items))
 	for _, it := range items.Items {
 		n, err := encoder.FromCBOR[announcement](it.Value)
@@ -116,11 +178,12 @@
 			continue
 		}
 		vms = append(vms, provider.VM{Address: it.Key, Role: provider.RoleNode, Centre: n.Centre})
+		listed = listed || it.Key == a.cfg.Address && n.Centre == a.cfg.Centre
 	}
 	vms = a.withSeeds(vms)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.cached, a.readAt, a.reads = vms, a.cfg.Now(), a.reads+1
+	a.cached, a.readAt, a.reads, a.listed = vms, a.cfg.Now(), a.reads+1, listed
 	return vms, nil
 }
 
--- a/internal/supervisor/announcer/announcer_test.go
+++ b/internal/supervisor/announcer/announcer_test.go
@@ -42,6 +42,7 @@
 func announce(s *topic, address string, now func() time.Time, seeds ...string) *Announcer {
 	a := New(Config{
 		Topics: s.topics(), Topic: "nodes", Address: address, Centre: "a", Seeds: seeds, Now: now, Recorder: recorder.Nop(),
+		Known: func() int { return 1 },
 	})
 	if !s.down {
 		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Millisecond)
@@ -96,3 +97,49 @@
 		t.Errorf("reads in 100 s: got %d, want at most %d", got, want)
 	}
 }
+
+// A fleet starts for the first time, and later all its nodes restart. The calls to the
+// store are counted: a node that restarts is listed already, and one that knows many
+// nodes over links reads no second list.
+func TestCallsOfAStart(t *testing.T) {
+	cases := []struct {
+		name           string
+		known          int
+		listed         bool
+		reads, appends int
+	}{
+		{"first start of few nodes", 3, false, 2, 1},
+		{"first start of many nodes", enoughNodes, false, 1, 1},
+		{"restart", 1, true, 1, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			s := &topic{}
+			const address = "10.0.0.1:1"
+			if c.listed {
+				announce(s, address, func() time.Time { return now })
+			}
+			reads, items := s.reads, len(s.items)
+			a := New(Config{
+				Topics: s.topics(), Topic: "nodes", Address: address, Centre: "a", Now: func() time.Time { return now },
+				Known: func() int { return c.known }, Recorder: recorder.Nop(),
+			})
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+			defer cancel()
+			_ = a.Step().Run(ctx)
+			for range 20 {
+				now = now.Add(2 * time.Second)
+				if _, err := a.List().VMs(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got, want := s.reads-reads, c.reads; got != want {
+				t.Errorf("reads in 40 s: got %d, want %d", got, want)
+			}
+			if got, want := len(s.items)-items, c.appends; got != want {
+				t.Errorf("announcements: got %d, want %d", got, want)
+			}
+		})
+	}
+}
--- a/internal/supervisor/elector/elector.go
+++ b/internal/supervisor/elector/elector.go
@@ -27,6 +27,10 @@
 // of nodes that start together.
 const maxStartDelay = 500 * time.Millisecond
 
+// endedTimeout is how long a holder must be known to run as another process before
+// another node takes over.
+const endedTimeout = 2 * checkInterval
+
 // retryInterval is the additional delay after a failed call to the store.
 const retryInterval = time.Second
 
@@ -50,13 +54,21 @@
 	// ReadRemote calls another node's HandleQuery while the store doesn't answer
 	// this node.
 	ReadRemote func(ctx context.Context) ([]byte, error)
-	// Alive reports whether a process is alive as far as this node knows.
-	Alive func(address, incarnation string) bool
+	// Alive reports whether a process is alive as far as this node knows, and Replaced
+	// whether another process runs at its address.
+	Alive    func(address, incarnation string) bool
+	Replaced func(address, incarnation string) bool
 	// IsSuccessor reports whether this node, among the live ones, must take over from
-	// a holder that has ended.
+	// a holder that has ended, and IsCandidate whether it may be the next one that
+	// must.
 	IsSuccessor func() bool
-	Now         func() time.Time
-	Recorder    *recorder.Recorder
+	IsCandidate func() bool
+	// Starting reports whether this node may not know the other nodes yet, and IsSeed
+	// whether it is one of those that take part in the election meanwhile.
+	Starting func() bool
+	IsSeed   func() bool
+	Now      func() time.Time
+	Recorder *recorder.Recorder
 }
 
 // record is a holder as it is stored.
@@ -114,6 +126,9 @@
 func (e *Elector) check(ctx context.Context) error {
 	l := e.current()
 	if !l.known {
+		if !e.takesPart() {
+			return nil
+		}
 		var err error
 		if l, err = e.refresh(ctx); err != nil {
 			return err
@@ -125,6 +140,15 @@
 	return e.takeLead(ctx, l)
 }
 
+// takesPart reports whether this node may have to take the lead. The other nodes
+// don't read who leads, so that a fleet that starts makes few calls.
+func (e *Elector) takesPart() bool {
+	if e.cfg.Starting() {
+		return e.cfg.IsSeed()
+	}
+	return e.cfg.IsCandidate()
+}
+
 // mayTake reports whether the lead is free and it is this node's turn to take it.
 func (e *Elector) mayTake(l leadership) bool {
 	if l.fence == 0 {
@@ -135,7 +159,11 @@
 		e.lastHolder, e.lastAlive = l.holder, now
 		return false
 	}
-	return now.Sub(e.lastAlive) >= absenceTimeout && e.cfg.IsSuccessor()
+	timeout := absenceTimeout
+	if e.cfg.Replaced(l.holder.Address, l.holder.Incarnation) {
+		timeout = endedTimeout
+	}
+	return now.Sub(e.lastAlive) >= timeout && e.cfg.IsSuccessor()
 }
 
 // takeLead appends this node's record if no other has been appended since l was
--- a/internal/supervisor/elector/elector_test.go
+++ b/internal/supervisor/elector/elector_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/gravitational/trace"
 
+	"banyanquay/internal/encoder"
 	"banyanquay/internal/provider"
 	"banyanquay/internal/recorder"
 )
@@ -69,6 +71,8 @@
 				defer f.mu.Unlock()
 				return f.alive[address]
 			},
+			Replaced:    func(string, string) bool { return false },
+			IsCandidate: func() bool { return true }, Starting: func() bool { return false }, IsSeed: func() bool { return true },
 			IsSuccessor: func() bool {
 				f.mu.Lock()
 				defer f.mu.Unlock()
@@ -217,3 +221,46 @@
 		}
 	})
 }
+
+// All 50 nodes restart at the same moment, the holder among them. Only the seeds and
+// the candidates read who leads, and one takes over soon: the holder's process has
+// ended for certain, since another one runs at its address.
+func TestFleetRestartsTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const nodes, starting = 50, 1200 * time.Millisecond
+		data, err := encoder.CBOR(record{Address: "n5", Incarnation: "before"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &store{items: []provider.Item{{Key: key, Value: data}}}
+		topics, reads := s.Topics(), atomic.Int64{}
+		newest := topics.Newest
+		topics.Newest = func(ctx context.Context, topic string) (provider.Items, error) {
+			reads.Add(1)
+			return newest(ctx, topic)
+		}
+		began := time.Now()
+		f := &fleet{}
+		for i := range nodes {
+			e := New(Config{
+				Topics: topics, Address: fmt.Sprint("n", i), Incarnation: "after", Now: time.Now, Recorder: recorder.Nop(),
+				Alive:       func(_, incarnation string) bool { return incarnation == "after" },
+				Replaced:    func(_, incarnation string) bool { return incarnation != "after" },
+				IsSuccessor: func() bool { return i == 0 }, IsCandidate: func() bool { return i < 3 },
+				Starting: func() bool { return time.Since(began) < starting }, IsSeed: func() bool { return i%20 == 0 },
+			})
+			f.all = append(f.all, e)
+			ctx, cancel := context.WithCancel(t.Context())
+			t.Cleanup(cancel)
+			go func() { _ = e.Step().Run(ctx) }()
+		}
+		time.Sleep(starting + endedTimeout)
+		if got, want := fmt.Sprint(f.leaders()), "[0]"; got != want {
+			t.Errorf("leaders after %v: got %v, want %v", time.Since(began), got, want)
+		}
+		time.Sleep(10 * time.Second)
+		if got, want := reads.Load(), int64(8); got > want {
+			t.Errorf("reads: got %d, want at most %d", got, want)
+		}
+	})
+}
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -63,9 +63,9 @@
 	// startupPeriod is how long after its start a node may not know the other nodes
 	// yet.
 	startupPeriod = 1200 * time.Millisecond
-	// maxRemoteReaders is the maximum number of other data centres whose reader is
-	// queried while the reader of this node's data centre doesn't answer.
-	maxRemoteReaders = 2
+	// leadCandidates is the number of nodes that follow who leads, so that one of them
+	// takes over without delay.
+	leadCandidates = 3
 	// maxLeadQueries is the maximum number of nodes that are asked to read who
 	// leads. leadQueryTimeout bounds each query, which takes a call to the store and
 	// a connection.
@@ -174,7 +174,7 @@
 	})
 	r.announcer = announcer.New(announcer.Config{
 		Topics: p.Topics, Topic: p.NodeTopic, Address: s.Address, Centre: s.Centre, Seeds: s.Relay.Seeds,
-		Now: r.clock.Now, Recorder: r.recorder,
+		Known: func() int { return len(r.tracker.Nodes()) }, Now: r.clock.Now, Recorder: r.recorder,
 	})
 	r.composeMembers()
 	r.composePlacement()
@@ -228,7 +228,8 @@
 	p := r.cfg.Platform
 	r.elector = elector.New(elector.Config{
 		Topics: p.Topics, Topic: p.LeadTopic, ReadRemote: r.readRemoteLead, Address: r.cfg.Settings.Address,
-		Incarnation: r.identity.incarnation, Alive: r.alive, IsSuccessor: r.isSuccessor,
+		Incarnation: r.identity.incarnation, Alive: r.alive, Replaced: r.replaced, IsSuccessor: r.isSuccessor, IsCandidate: r.isCandidate,
+		Starting: r.starting, IsSeed: r.isSeed,
 		Now: r.clock.Now, Recorder: r.recorder,
 	})
 	r.linker.Handle(linker.Lead, r.elector.HandleQuery)
@@ -319,42 +320,6 @@
 	return r.clock.Now().Sub(r.started) < startupPeriod
 }
 
-// isReader reports whether this node reads the store for the others in its data
-// centre.
-func (r *relayNode) isReader() bool {
-	first := r.centreReader(r.cfg.Settings.Centre)
-	return len(first) == 0 || first[0] == r.cfg.Settings.Address
-}
-
-// readers returns the nodes that read the store: first the reader of the own data
-// centre, then those of up to maxRemoteReaders others.
-func (r *relayNode) readers() []string {
-	own := r.cfg.Settings.Centre
-	readers := r.centreReader(own)
-	var centres []string
-	for _, n := range r.tracker.Nodes() {
-		if n.Centre != own && n.Centre != "" && !slices.Contains(centres, n.Centre) {
-			centres = append(centres, n.Centre)
-		}
-	}
-	for _, centre := range ranker.Of(r.cfg.Settings.Address).Top(centres, maxRemoteReaders) {
-		readers = append(readers, r.centreReader(centre)...)
-	}
-	return readers
-}
-
-// centreReader returns the node that reads the store for the others in its data
-// centre, or none if the data centre has no live node that isn't suspect.
-func (r *relayNode) centreReader(centre string) []string {
-	var live []string
-	for _, n := range r.tracker.Nodes() {
-		if n.Centre == centre && n.Live() && !n.Suspect {
-			live = append(live, n.Address)
-		}
-	}
-	return ranker.Of("reader").Top(live, 1)
-}
-
 // countCentreNodes returns the number of live nodes in this node's data centre; at
 // least 1.
 func (r *relayNode) countCentreNodes() int {
@@ -381,6 +346,23 @@
 	return false
 }
 
+// replaced reports whether another process than the given one runs at an address as
+// far as this node knows.
+func (r *relayNode) replaced(address, incarnation string) bool {
+	for _, n := range r.tracker.Nodes() {
+		if n.Address == address {
+			return n.Live() && n.Incarnation != "" && n.Incarnation != incarnation
+		}
+	}
+	return false
+}
+
+// isSeed reports whether this node is a seed, or whether there is none.
+func (r *relayNode) isSeed() bool {
+	seeds := r.cfg.Settings.Relay.Seeds
+	return len(seeds) == 0 || slices.Contains(seeds, r.cfg.Settings.Address)
+}
+
 // readRemoteLead queries up to maxLeadQueries other nodes for the leader, one after
 // the other, and returns the first answer.
 func (r *relayNode) readRemoteLead(ctx context.Context) ([]byte, error) {
@@ -398,15 +380,24 @@
 	return nil, err
 }
 
-// isSuccessor reports whether this node must take the lead from a holder
-// that has ended.
+// isSuccessor reports whether this node must take the lead from a holder that has
+// ended.
 func (r *relayNode) isSuccessor() bool {
+	return slices.Contains(r.leadOrder(1), r.cfg.Settings.Address)
+}
+
+// isCandidate reports whether this node is among those that follow who leads.
+func (r *relayNode) isCandidate() bool {
+	return slices.Contains(r.leadOrder(leadCandidates), r.cfg.Settings.Address)
+}
+
+// leadOrder returns the first n nodes in the order in which they take the lead.
+func (r *relayNode) leadOrder(n int) []string {
 	var live []string
-	for _, n := range r.tracker.Nodes() {
-		if n.Live() && !n.Suspect {
-			live = append(live, n.Address)
+	for _, node := range r.tracker.Nodes() {
+		if node.Live() && !node.Suspect {
+			live = append(live, node.Address)
 		}
 	}
-	first := ranker.Of("lead").Top(live, 1)
-	return slices.Contains(first, r.cfg.Settings.Address)
+	return ranker.Of("lead").Top(live, n)
 }
