Let no single message or error end a node, and a stop cut no request

Cause: outside HTTP handlers nothing caught a panic, so that one ended the process with all its streams. One could be caused from outside: a node's message that says that it sends no loads, and has some, wrote to a map that is not there, with a lock held. A planned stop closed all connections at once; a request that had just been accepted, and not counted by the gate yet, was cut off.

Change: messages, queries, rounds of the monitor and of the placement, orders, reads of the store and the forwarder's background tasks run under recorder.Guard, which logs a panic as event 110 and ends only what met it; the message is decoded consistently, the syncer's answer takes its lock with defer. The servers answer what they have accepted for up to 0.3 s before they close.

Seen failing without the change: TestMalformedMessageIsIgnored ('assignment to entry in nil map' ends the test's process). Weighed: ending the process in order on a panic; its callers would pay for an error in one of them.

--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -25,6 +25,7 @@
 	{SettingsReloaded, "The settings file was reloaded and its values are in force.", "Nothing."},
 	{SettingsRejected, "The settings file changed and has faults; the previous values stay in force.", "Correct every fault named."},
 	{LatencySummary, "The latency histograms since the node's start, as in its metrics; a node logs the last one at its planned stop.", "Nothing."},
+	{PanicCaught, "An unexpected error was caught in the part that the fields name; only the request, message or round that met it failed.", "Report it with the stack in the fields."},
 	{RequestRefused, "A request was refused; its code is in the fields.", "Look the code up with banyanquay explain CODE."},
 	{RequestEnded, "A request ended.", "Nothing."},
 	{StageReplaced, "A pipeline continues with other endpoints.", "Nothing."},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -24,6 +24,7 @@
 	SettingsReloaded                        // settings read again
 	SettingsRejected                        // changed settings refused
 	LatencySummary                          // latencies since the start
+	PanicCaught                             // unexpected error caught
 )
 
 // Events of requests.
--- a/internal/recorder/event_string.go
+++ b/internal/recorder/event_string.go
@@ -18,6 +18,7 @@
 	_ = x[SettingsReloaded-107]
 	_ = x[SettingsRejected-108]
 	_ = x[LatencySummary-109]
+	_ = x[PanicCaught-110]
 	_ = x[RequestRefused-200]
 	_ = x[RequestEnded-201]
 	_ = x[StageReplaced-202]
@@ -72,7 +73,7 @@
 }
 
 const (
-	_Event_name_0 = "node startednode ready to servenode leavingnode stoppedstop deadline cut work shortsupervised step failedlog lines droppedsettings read againchanged settings refusedlatencies since the start"
+	_Event_name_0 = "node startednode ready to servenode leavingnode stoppedstop deadline cut work shortsupervised step failedlog lines droppedsettings read againchanged settings refusedlatencies since the startunexpected error caught"
 	_Event_name_1 = "request refusedrequest endedpipeline stage replacedpipeline stage failedoutcome of a non-idempotent request lostcache of a lost stage not importedtry at an endpoint failedpath of a stream changedstream stalledanswer could not be encoded"
 	_Event_name_2 = "ledger stream unreachableledger stream reachable againledger records lost to retentionledger record ignored"
 	_Event_name_3 = "configuration change appliedconfiguration change rejectedconfiguration stream unreachableconfiguration stream reachable againconfiguration record ignoredconfiguration snapshot appendedconfiguration records lost to retentionconfiguration restored by an operator"
@@ -81,7 +82,7 @@
 )
 
 var (
-	_Event_index_0 = [...]uint8{0, 12, 31, 43, 55, 83, 105, 122, 141, 165, 190}
+	_Event_index_0 = [...]uint8{0, 12, 31, 43, 55, 83, 105, 122, 141, 165, 190, 213}
 	_Event_index_1 = [...]uint8{0, 15, 28, 51, 72, 112, 146, 171, 195, 209, 236}
 	_Event_index_2 = [...]uint8{0, 25, 54, 86, 107}
 	_Event_index_3 = [...]uint16{0, 28, 57, 89, 125, 153, 184, 223, 260}
@@ -91,7 +92,7 @@
 
 func (i Event) String() string {
 	switch {
-	case 100 <= i && i <= 109:
+	case 100 <= i && i <= 110:
 		i -= 100
 		return _Event_name_0[_Event_index_0[i]:_Event_index_0[i+1]]
 	case 200 <= i && i <= 209:
--- a/internal/supervisor/acceptor/acceptor.go
+++ b/internal/supervisor/acceptor/acceptor.go
@@ -26,8 +26,13 @@
 	MaxHeaderBytes int
 }
 
-// Step serves until its context ends, then closes all connections at once. Requests
-// in flight have to be waited for before the context is cancelled.
+// drainTimeout is how long a stop waits for requests in flight. Longer ones have to be
+// waited for before the context is cancelled; this covers those that were accepted
+// just then.
+const drainTimeout = 300 * time.Millisecond
+
+// Step serves until its context ends. It then accepts no more, answers the requests
+// that it has accepted, for at most drainTimeout, and closes all connections.
 func Step(cfg Config) grouper.Step {
 	return grouper.Step{Name: cfg.Name, Run: func(ctx context.Context) error {
 		var lc net.ListenConfig
@@ -41,11 +46,25 @@
 			IdleTimeout:       cfg.IdleTimeout,
 			MaxHeaderBytes:    cfg.MaxHeaderBytes,
 		}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		drained := make(chan struct{})
+		stop := context.AfterFunc(ctx, func() {
+			defer close(drained)
+			drain(server)
+		})
 		defer stop()
 		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return trace.Wrap(err, "serving %s on %s", cfg.Name, cfg.Address)
 		}
+		<-drained
 		return nil
 	}}
 }
+
+// drain waits for the requests in flight, then closes all connections.
+func drain(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close() // what is left doesn't end by itself
+	}
+}
--- a/internal/supervisor/arranger/arranger.go
+++ b/internal/supervisor/arranger/arranger.go
@@ -113,7 +113,7 @@
 func (a *Arranger) Step() grouper.Step {
 	return grouper.Step{Name: "arranger", Run: func(ctx context.Context) error {
 		for grouper.Sleep(ctx, planInterval) {
-			a.reconcile(ctx)
+			a.cfg.Recorder.Guard("placement", func() { a.reconcile(ctx) })
 		}
 		return nil
 	}}
@@ -246,7 +246,8 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			delays[i] = a.sendOrder(ctx, fence, j)
+			delays[i] = unansweredDelay
+			a.cfg.Recorder.Guard("order", func() { delays[i] = a.sendOrder(ctx, fence, j) })
 		})
 	}
 	wg.Wait()
--- a/internal/supervisor/broadcaster/broadcaster.go
+++ b/internal/supervisor/broadcaster/broadcaster.go
@@ -107,6 +107,21 @@
 	unreachable []string
 }
 
+// setState replaces the peer's state by that of a message.
+func (p *peer) setState(m message, now time.Time) {
+	p.lastReceived, p.loads = now, nil
+	if m.HasLoads {
+		p.loads = make(map[uint32]int, len(m.Loads))
+		for _, l := range m.Loads {
+			p.loads[l.ID] += int(l.Units)
+		}
+	}
+	p.spent = make(map[uint32]budgeter.Usage, len(m.Spent))
+	for _, s := range m.Spent {
+		p.spent[s.ID] = budgeter.Usage{Requests: int(s.Requests), Retries: int(s.Repeats)}
+	}
+}
+
 // Broadcaster exchanges the state of endpoints with other nodes. It is safe for
 // concurrent use.
 type Broadcaster struct {
@@ -292,20 +307,9 @@
 	if err != nil {
 		return // from a peer of another build; its loads count as unknown
 	}
-	now := t.cfg.Now()
 	t.mu.Lock()
 	if p := t.peers[link.ID]; p != nil && m.HasState {
-		p.lastReceived, p.loads = now, nil
-		if m.HasLoads {
-			p.loads = make(map[uint32]int, len(m.Loads))
-		}
-		for _, l := range m.Loads {
-			p.loads[l.ID] += int(l.Units)
-		}
-		p.spent = make(map[uint32]budgeter.Usage, len(m.Spent))
-		for _, s := range m.Spent {
-			p.spent[s.ID] = budgeter.Usage{Requests: int(s.Requests), Retries: int(s.Repeats)}
-		}
+		p.setState(m, t.cfg.Now())
 	}
 	t.mu.Unlock()
 	for _, id := range m.Unreachable {
--- a/internal/supervisor/broadcaster/broadcaster_test.go
+++ b/internal/supervisor/broadcaster/broadcaster_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"banyanquay/internal/encoder"
 	"banyanquay/internal/supervisor/forwarder/budgeter"
 	"banyanquay/internal/supervisor/linker"
 )
@@ -167,10 +168,19 @@
 }
 
 func TestMalformedMessageIsIgnored(t *testing.T) {
-	b := newNode("b")
-	b.linkUp(linker.Link{ID: "1", Address: "a"})
-	b.receive(linker.Link{ID: "1"}, []byte("\xff\x00"))
-	if _, nodes := b.PeerLoad("e1"); nodes != 0 {
-		t.Errorf("a malformed message was counted")
+	contradiction, err := encoder.CBOR(message{HasState: true, HasLoads: false, Loads: []Load{{ID: 1, Units: 1}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, body := range map[string][]byte{
+		"no CBOR":                             []byte("\xff\x00"),
+		"loads of a node that sends no loads": contradiction,
+	} {
+		b := newNode("b")
+		b.linkUp(linker.Link{ID: "1", Address: "a"})
+		b.receive(linker.Link{ID: "1"}, body)
+		if _, nodes := b.PeerLoad("e1"); nodes != 0 {
+			t.Errorf("%s: the loads were counted", name)
+		}
 	}
 }
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -113,14 +113,19 @@
 // this node probes the endpoint, too, and suspects it if the probe fails.
 func (f *Forwarder) HandleUnreachable(id string) {
 	if e, ok := f.cfg.Endpoints().Get(id); ok && !f.monitor.knownUnreachable(e.Address) {
-		go func() {
+		f.start("probe", func() {
 			if len(f.prober.unreachable([]string{e.Address}, 0)) > 0 {
 				f.markSuspect(e.ID, e.Address, unreachableBackoff, reasonUnreachable)
 			}
-		}()
+		})
 	}
 }
 
+// start runs a function in the background. A panic in it ends nothing else.
+func (f *Forwarder) start(name string, run func()) {
+	go f.cfg.Recorder.Guard(name, run)
+}
+
 // otherNodeDelay is the Retry-After of a request that another node can serve, but
 // not this one.
 const otherNodeDelay = 10 * time.Millisecond
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -131,9 +131,9 @@
 			case <-ctx.Done():
 				return nil
 			case <-tick.C:
-				f.monitor.checkStreams(f.cfg.Now())
+				f.cfg.Recorder.Guard("monitor", func() { f.monitor.checkStreams(f.cfg.Now()) })
 			case <-refresh.C:
-				f.monitor.refreshSlow()
+				f.cfg.Recorder.Guard("paces", f.monitor.refreshSlow)
 			}
 		}
 	}}
@@ -146,7 +146,7 @@
 	}
 	m.endSilent(now)
 	for _, s := range m.markStalled(now) {
-		go m.recoverStream(s)
+		m.f.start("recovery", func() { m.recoverStream(s) })
 	}
 	m.evacuateNext(now)
 }
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -124,7 +124,7 @@
 	s.checks, s.nextCheck, s.pathSuspected = 0, now, false
 	if s.evacuationDue && !s.recovering {
 		s.evacuationDue, s.recovering = false, true
-		go s.f.monitor.evacuate(s)
+		s.f.start("evacuation", func() { s.f.monitor.evacuate(s) })
 	}
 }
 
--- a/internal/supervisor/forwarder/unreachable.go
+++ b/internal/supervisor/forwarder/unreachable.go
@@ -25,7 +25,7 @@
 	}
 	m.mu.Unlock()
 	for _, s := range found {
-		go m.recoverStream(s)
+		m.f.start("recovery", func() { m.recoverStream(s) })
 	}
 }
 
--- a/internal/supervisor/linker/dialler.go
+++ b/internal/supervisor/linker/dialler.go
@@ -204,9 +204,13 @@
 	if handler == nil {
 		return answer{Error: "no handler for this subject"}
 	}
-	body, err := handler(peer.Query)
-	if err != nil {
-		return answer{Error: err.Error()}
-	}
-	return answer{Body: body}
+	reply := answer{Error: "unexpected error"}
+	l.cfg.Recorder.Guard("query", func() {
+		body, err := handler(peer.Query)
+		reply = answer{Body: body}
+		if err != nil {
+			reply = answer{Error: err.Error()}
+		}
+	})
+	return reply
 }
--- a/internal/supervisor/linker/session.go
+++ b/internal/supervisor/linker/session.go
@@ -106,7 +106,7 @@
 		s.mu.Unlock()
 		for _, part := range frame.Parts {
 			if topic, ok := l.topics[part.Topic]; ok {
-				topic.Receive(s.link, part.Body)
+				l.cfg.Recorder.Guard("message", func() { topic.Receive(s.link, part.Body) })
 			}
 		}
 	}
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -11,6 +11,7 @@
 	"banyanquay/internal/grouper"
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/registrar"
+	"banyanquay/internal/supervisor/forwarder"
 )
 
 const (
@@ -102,10 +103,27 @@
 	if err != nil {
 		return nil, err
 	}
-	ans := answer{ConfirmationAgeMillis: -1, TableAgeMillis: -1}
-	// Ages are computed after reading the data, so that they are never too low.
+	ans, view, raw := s.tableAnswer(q)
+	if view.Configuration != nil && !view.Confirmed.IsZero() {
+		ans.ConfirmationAgeMillis = s.cfg.Now().Sub(view.Confirmed).Milliseconds() + 1
+		if view.Configuration.Version() > q.Version {
+			ans.Configuration = raw
+		}
+	}
+	if len(q.Report) > 0 {
+		ans.Aggregate = s.cfg.HandleReport(q.From, q.Report)
+	}
+	return encoder.CBOR(ans)
+}
+
+// tableAnswer returns the part of the answer that concerns the table, and the
+// configuration as of the same moment.
+func (s *Syncer) tableAnswer(q query) (ans answer, view forwarder.View, raw []byte) {
 	s.mu.Lock()
-	view, raw := s.View(), *s.rawConfiguration.Load()
+	defer s.mu.Unlock()
+	ans = answer{ConfirmationAgeMillis: -1, TableAgeMillis: -1}
+	// Ages are computed after reading the data, so that they are never too low.
+	view, raw = s.View(), *s.rawConfiguration.Load()
 	table, asOf := s.Table(), s.tableTimestamp.Load()
 	if asOf != nil {
 		ans.TableAgeMillis = s.cfg.Now().Sub(*asOf).Milliseconds() + 1
@@ -117,17 +135,7 @@
 		ans.Entries, ans.Removed, ans.Full = s.history.changesSince(table, q.HistoryID, q.Revision)
 		ans.HistoryID, ans.Revision = s.history.id, s.history.revision
 	}
-	s.mu.Unlock()
-	if view.Configuration != nil && !view.Confirmed.IsZero() {
-		ans.ConfirmationAgeMillis = s.cfg.Now().Sub(view.Confirmed).Milliseconds() + 1
-		if view.Configuration.Version() > q.Version {
-			ans.Configuration = raw
-		}
-	}
-	if len(q.Report) > 0 {
-		ans.Aggregate = s.cfg.HandleReport(q.From, q.Report)
-	}
-	return encoder.CBOR(ans)
+	return ans, view, raw
 }
 
 // followPeers queries the nodes that read the store for this one, and other nodes
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -225,7 +225,12 @@
 			return nil
 		}
 		o.succeeded()
-		f.apply(items, !initialised, sentAt, o.returned.Add(lapseGracePeriod))
+		full := !initialised
+		if !s.cfg.Recorder.Guard(f.name, func() { f.apply(items, full, sentAt, o.returned.Add(lapseGracePeriod)) }) {
+			initialised = false
+			grouper.Sleep(ctx, maxBackoff)
+			continue
+		}
 		initialised, from = true, items.End
 		if !items.More && f.interval > 0 {
 			grouper.Sleep(ctx, f.interval)
