Serve callers at nodes that have just restarted

Change: a request waits for up to 0.4 s for the first configuration and endpoints. A node that starts counts the nodes that are listed, until it knows who is alive.

Ruled out: listening only when ready (callers' retries end at refused connections as well); wider random choices (the test passes with them only if nodes know their number).

Seen failing without the change: TestCallersThatReturnTogetherFitInMemory with three nodes known of 20 (1.41 to 1.51 of four engines' memory), TestRequestsWaitForANodeThatStarts.

--- a/internal/standin/simulator/world.go
+++ b/internal/standin/simulator/world.go
@@ -189,10 +189,10 @@
 		Others: func(service string) (budgeter.Usage, int) { return f.otherSpent(n, service) },
 	})
 	n.forwarder = forwarder.New(forwarder.Config{
-		Decode:    decode,
-		View:      func() forwarder.View { return forwarder.View{Configuration: f.cfg, Confirmed: time.Now()} },
-		Endpoints: f.table.Load,
-		Relay:     f.emulator.Relay(), Budget: n.budget, Centre: centre,
+		Decode: decode,
+		View:   func() forwarder.View { return forwarder.View{Configuration: f.cfg, Confirmed: time.Now()} },
+		Ready:  func() bool { return true }, Endpoints: f.table.Load,
+		Relay: f.emulator.Relay(), Budget: n.budget, Centre: centre,
 		MaxConfirmationAge: func() time.Duration { return time.Minute }, Starting: func() bool { return false },
 		RemoteLoadsKnown: func() bool { return true },
 		Nodes:            func() int { return len(f.nodes) }, CentreNodes: func() int { return len(f.nodes) },
--- a/internal/supervisor/forwarder/admit_test.go
+++ b/internal/supervisor/forwarder/admit_test.go
@@ -107,3 +107,50 @@
 		}
 	})
 }
+
+// All nodes restart at once, and their callers return before any has read the store. A
+// refusal would send them to other nodes that aren't ready, either, until their retries
+// are used up: they wait for the fraction of a second that it takes.
+func TestRequestsWaitForANodeThatStarts(t *testing.T) {
+	cases := []struct {
+		name          string
+		configuration time.Duration
+		table         time.Duration
+		status        int
+		took          time.Duration
+	}{
+		{"both read before", 0, 0, 200, 0},
+		{"the configuration read after 150 ms", 150 * time.Millisecond, 0, 200, 150 * time.Millisecond},
+		{"the endpoints read after 250 ms", 100 * time.Millisecond, 250 * time.Millisecond, 200, 250 * time.Millisecond},
+		{"nothing read", time.Hour, time.Hour, 503, readyTimeout},
+		{"no endpoints read", 0, time.Hour, 503, readyTimeout},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var sent []driver.Forward
+				w := newHarness(t, scriptedRelay(&sent, signedReply(200, "ok")), plainEntries()...)
+				began, configuration := time.Now(), w.view.Configuration
+				w.f.cfg.View = func() View {
+					if time.Since(began) < c.configuration {
+						return View{}
+					}
+					return View{Configuration: configuration, Confirmed: time.Now()}
+				}
+				w.f.cfg.Ready = func() bool {
+					return time.Since(began) >= c.configuration && time.Since(began) >= c.table
+				}
+				a := w.send(t.Context(), "GET", pathGet+"1", "r1", "")
+				if got, want := a.Code, c.status; got != want {
+					t.Errorf("status: got %d, want %d, %s", got, want, a.Body)
+				}
+				if got, want := time.Since(began), c.took+2*readyPollInterval; got < c.took || got > want {
+					t.Errorf("took: got %v, want %v to %v", got, c.took, want)
+				}
+				if c.status == 503 && a.Header().Get("Retry-After") == "" {
+					t.Error("got no Retry-After")
+				}
+			})
+		})
+	}
+}
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -4,6 +4,7 @@
 package forwarder
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -15,6 +16,7 @@
 	"banyanquay/internal/bounder"
 	"banyanquay/internal/counter"
 	"banyanquay/internal/driver"
+	"banyanquay/internal/grouper"
 	"banyanquay/internal/mapper"
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
@@ -43,6 +45,9 @@
 	View func() View
 	// Endpoints returns the table of endpoints.
 	Endpoints func() *registrar.Table
+	// Ready reports whether the configuration and the table of endpoints have been
+	// read since this process began.
+	Ready func() bool
 	// Relay calls endpoints.
 	Relay driver.Relay
 	// BufferBytes limits the memory of all answers that are buffered at once; 0 means
@@ -183,6 +188,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	if err == nil {
+		f.awaitReady(r.Context())
 		err = f.admit(c)
 	}
 	if err != nil {
@@ -203,12 +209,30 @@
 	f.servePlain(c)
 }
 
+const (
+	// readyTimeout is how long a request waits at a node that has just started and has
+	// not read the store. It is shorter than the time in which callers want the first
+	// byte, and leaves them enough to try another node.
+	readyTimeout = 400 * time.Millisecond
+	// readyPollInterval is how often the request checks meanwhile.
+	readyPollInterval = 5 * time.Millisecond
+)
+
+// awaitReady waits until this node is ready, but no longer than readyTimeout. After a
+// restart of all nodes a refusal would send the caller to another one that isn't
+// ready, either.
+func (f *Forwarder) awaitReady(ctx context.Context) {
+	deadline := f.cfg.Now().Add(readyTimeout)
+	for !f.cfg.Ready() && f.cfg.Now().Before(deadline) && grouper.Sleep(ctx, readyPollInterval) {
+	}
+}
+
 // admit reads the request, checks it against the configuration and selects its
 // service.
 func (f *Forwarder) admit(c *call) error {
 	view := f.cfg.View()
-	if view.Configuration == nil {
-		return refuser.New(refuser.NotCaughtUp, "no configuration has been read")
+	if view.Configuration == nil || !f.cfg.Ready() {
+		return refuser.New(refuser.NotCaughtUp, "no configuration or no endpoints have been read")
 	}
 	if err := f.readRequest(c, view.Configuration.Limits()); err != nil {
 		return err
--- a/internal/supervisor/forwarder/path_test.go
+++ b/internal/supervisor/forwarder/path_test.go
@@ -1,11 +1,17 @@
 package forwarder
 
 import (
+	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"banyanquay/internal/driver"
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/registrar"
 	"banyanquay/internal/standin/emulator"
 )
 
@@ -56,3 +62,75 @@
 		}
 	})
 }
+
+// All nodes have just restarted, and two seconds later all callers return within a
+// moment. No node knows the loads of the others, but each knows how many there are in its
+// data centre. Together they must not give the fastest engines more than fits in their
+// memory while others have room.
+func TestCallersThatReturnTogetherFitInMemory(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			nodes   = 20
+			streams = 11 // of each node, as a mean
+			tokens  = 950
+		)
+		kinds := map[string]mapper.Accelerator{
+			"h100": {Name: "h100", MB: 72000, Pace: 1.4, PrefillPace: 1}, "a100s": {Name: "a100s", MB: 36000, Pace: 3.1, PrefillPace: 3.2},
+			"l4": {Name: "l4", MB: 21600, Pace: 16, PrefillPace: 8.2},
+		}
+		service := mapper.Service{Name: "llm", Engine: &mapper.Engine{
+			Slots: 192, Layers: 80, LayerMB: 1750, CacheBytes: 590000, Step: 850 * time.Microsecond, TokensPerEvent: 3,
+			PrefillRate: 294, PrefillChunk: 512, Accelerators: slices.Collect(maps.Values(kinds)),
+		}}
+		var entries []registrar.Entry
+		add := func(kind string, copies int, ranges ...[2]int) {
+			for _, r := range ranges {
+				for range copies {
+					id := fmt.Sprintf("%s-%d", kind, len(entries))
+					entries = append(entries, registrar.Entry{
+						ID: id, Service: "llm", Address: id + ":1", Centre: "a", Accelerator: kind, Model: "m", Version: "1", First: r[0], Last: r[1], Slots: 192,
+					})
+				}
+			}
+		}
+		add("h100", 1, [2]int{16, 48})
+		add("a100s", 1, [2]int{0, 16}, [2]int{48, 64}, [2]int{64, 80})
+		add("l4", 2, [2]int{0, 8}, [2]int{8, 16}, [2]int{16, 24}, [2]int{24, 32}, [2]int{32, 40}, [2]int{40, 48},
+			[2]int{48, 56}, [2]int{56, 64}, [2]int{64, 72}, [2]int{72, 80})
+		used := make(map[string]int)
+		for n := range nodes {
+			w := newHarness(t, driver.Relay{}, entries...)
+			w.starting = true
+			w.view = View{Confirmed: time.Now(), Configuration: mapper.New(mapper.Draft{Version: 1, Routes: routes(), Services: []mapper.Service{service}})}
+			w.f.cfg.CentreNodes, w.f.cfg.Nodes = func() int { return nodes }, func() int { return nodes }
+			for range streams - 5 + n%11 {
+				path, err := w.f.path(&call{neededTokens: tokens, service: "llm"}, "1")
+				if err != nil {
+					t.Fatal(err)
+				}
+				w.f.assessor.Begin(ids(path), tokens)
+				for _, id := range ids(path) {
+					used[id] += tokens
+				}
+			}
+		}
+		members, _ := newHarnessMembers(entries, service)
+		for _, h := range members.holders {
+			if got, want := float64(used[h.entry.ID])/float64(h.tokenCapacity), 1.15; got > want {
+				t.Errorf("%s: got %.2f of its memory used, want at most %.2f", h.entry.ID, got, want)
+			}
+		}
+	})
+}
+
+// newHarnessMembers returns the members of a service with the given entries.
+func newHarnessMembers(entries []registrar.Entry, service mapper.Service) (*members, bool) {
+	changes := make([]registrar.Change, 0, len(entries))
+	for _, e := range entries {
+		changes = append(changes, registrar.Change{ID: e.ID, Entry: &e})
+	}
+	table := registrar.Table{}.With(time.Now(), time.Now(), changes)
+	cfg := mapper.New(mapper.Draft{Version: 1, Services: []mapper.Service{service}})
+	m, ok := newEndpointIndex(&table, cfg).services[service.Name]
+	return m, ok
+}
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -33,6 +33,8 @@
 	// retrySlack is the number of retries in a window in addition to those earned by
 	// requests.
 	retrySlack float64
+	// tableUnread is set while the endpoints have not been read.
+	tableUnread bool
 	// starting is set while the node may not know the other nodes.
 	starting bool
 	// broadcast lists the engines that were reported to other nodes as unreachable.
@@ -102,6 +104,11 @@
 			table := w.table
 			return &table
 		},
+		Ready: func() bool {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.view.Configuration != nil && !w.tableUnread
+		},
 		Relay: relay,
 		Budget: budgeter.New(budgeter.Config{
 			Limits: func() (float64, float64) { return 0.2, w.retrySlack }, Window: 10 * time.Second,
--- a/internal/supervisor/readers.go
+++ b/internal/supervisor/nodes.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"banyanquay/internal/provider"
 	"banyanquay/internal/ranker"
 )
 
@@ -49,3 +50,34 @@
 	}
 	return ranker.Of("reader").Top(live, 1)
 }
+
+// countNodes returns the number of live nodes, which share the endpoints; at least 1.
+func (r *relayNode) countNodes() int {
+	return r.count(func(string) bool { return true })
+}
+
+// countCentreNodes returns the number of live nodes in this node's data centre; at
+// least 1.
+func (r *relayNode) countCentreNodes() int {
+	return r.count(func(centre string) bool { return centre == r.cfg.Settings.Centre })
+}
+
+// count returns the number of live nodes in some data centres; at least 1. A node that
+// starts knows few others as live, so that it counts those that are listed, too: after
+// a restart of all nodes it would take itself for one of few.
+func (r *relayNode) count(in func(centre string) bool) int {
+	live, listed := 0, 0
+	for _, n := range r.tracker.Nodes() {
+		if n.Live() && in(n.Centre) {
+			live++
+		}
+	}
+	if r.starting() {
+		for _, vm := range r.tracker.VMs() {
+			if vm.Role == provider.RoleNode && in(vm.Centre) {
+				listed++
+			}
+		}
+	}
+	return max(live, listed, 1)
+}
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -196,7 +196,7 @@
 		},
 	})
 	r.forwarder = forwarder.New(forwarder.Config{
-		Decode: p.DecodeRequest, View: r.syncer.View, Endpoints: r.syncer.Table, Relay: p.Relay,
+		Decode: p.DecodeRequest, View: r.syncer.View, Endpoints: r.syncer.Table, Ready: r.syncer.Ready, Relay: p.Relay,
 		BufferBytes:        int64(bufferMemoryRatio * float64(s.Relay.MemoryMB) * (1 << 20)),
 		Budget:             r.budget,
 		Centre:             s.Centre,
@@ -289,18 +289,6 @@
 	return r.syncer.Ready() && !r.gate.Leaving()
 }
 
-// countNodes returns the number of live nodes, which share the endpoints; at least
-// 1.
-func (r *relayNode) countNodes() int {
-	n := 0
-	for _, node := range r.tracker.Nodes() {
-		if node.Live() {
-			n++
-		}
-	}
-	return max(n, 1)
-}
-
 // peers returns the other live nodes, which are queried for data that the store
 // doesn't return. Their order is random, which mixes in nodes of other data centres:
 // they may reach the store when this node's data centre doesn't.
@@ -320,18 +308,6 @@
 	return r.clock.Now().Sub(r.started) < startupPeriod
 }
 
-// countCentreNodes returns the number of live nodes in this node's data centre; at
-// least 1.
-func (r *relayNode) countCentreNodes() int {
-	n := 0
-	for _, node := range r.tracker.Nodes() {
-		if node.Live() && node.Centre == r.cfg.Settings.Centre {
-			n++
-		}
-	}
-	return max(n, 1)
-}
-
 // smallFleet reports whether there are few enough nodes to send each other their
 // loads over links.
 func (r *relayNode) smallFleet() bool { return r.countNodes() <= maxSmallFleet }
