--- a/internal/supervisor/forwarder/rescue.go
+++ b/internal/supervisor/forwarder/rescue.go
@@ -104,24 +104,15 @@
 	return m.requestReports(s, state)
 }
 
-// requestReports requests reports from the engines of a stream's path. It returns
-// the addresses of those that are slow, or of the engine that the first engine
-// waits for.
+// requestReports requests the report of a stream's first engine, which names the
+// engine that the stream waits for, and then the paces of the path's engines that
+// are not known. It returns the address of the former, or those of slow engines.
 func (m *monitor) requestReports(s *session, state snapshot) []string {
 	if !m.allow(m.reportLimiter, reportRate) {
 		return nil
 	}
-	var faulty []string
-	reports := m.reports.reports(state.path)
-	for _, p := range state.path {
-		if pace := reports[p.ID].Pace; pace > slowThreshold {
-			if m.f.recordPace(p.ID, p.Address, pace, true) {
-				go m.surveyPaces(s.c.service)
-			}
-			faulty = append(faulty, p.Address)
-		}
-	}
-	if address, ok := reports[state.first().ID].Stalled[s.c.ID]; ok {
+	first := m.reports.reports(state.path[:1])[state.first().ID]
+	if address, ok := first.Stalled[s.c.ID]; ok {
 		for _, p := range state.path {
 			if p.Address == address {
 				m.f.markSuspect(p.ID, address, stalledBackoff, "stalled")
@@ -129,5 +120,29 @@
 			}
 		}
 	}
-	return faulty
+	m.requestPaces(s.c.service, state.path)
+	now := m.f.cfg.Now()
+	var slow []string
+	for _, p := range state.path {
+		if m.f.assessor.Record(p.ID).CurrentPace(now) > slowThreshold {
+			slow = append(slow, p.Address)
+		}
+	}
+	return slow
+}
+
+// requestPaces requests the paces of the engines whose pace this node does not know.
+// If one turns out to be slow, all engines of the service are asked.
+func (m *monitor) requestPaces(service string, path []pathfinder.Stage) {
+	now := m.f.cfg.Now()
+	unknown := slices.DeleteFunc(slices.Clone(path), func(p pathfinder.Stage) bool {
+		rec := m.f.assessor.Record(p.ID)
+		return rec.CurrentPace(now) > slowThreshold || now.Sub(rec.PacedAt) < paceTTL
+	})
+	reports := m.reports.reports(unknown)
+	for _, p := range unknown {
+		if r, ok := reports[p.ID]; ok && m.f.recordPace(p.ID, p.Address, max(r.Pace, 1), true) {
+			m.f.start("survey", func() { m.surveyPaces(service) })
+		}
+	}
 }
--- a/internal/supervisor/forwarder/slow.go
+++ b/internal/supervisor/forwarder/slow.go
@@ -15,6 +15,9 @@
 	// slowReportInterval is the age at which the pace of a slow engine is requested
 	// again, so that its recovery is noticed.
 	slowReportInterval = 1200 * time.Millisecond
+	// paceTTL is how long an engine's pace counts as known: as long as engines take to
+	// report a change, and as a stream takes to become late by it.
+	paceTTL = 1200 * time.Millisecond
 	// surveyInterval is the minimum time between two requests to all engines.
 	surveyInterval = 3 * time.Second
 )
@@ -66,12 +69,12 @@
 		if !ok || now.Sub(r.PacedAt) < slowReportInterval {
 			continue
 		}
-		go func() {
+		m.f.start("pace", func() {
 			part := pathfinder.Stage{ID: e.ID, Address: e.Address}
 			if r, ok := m.reports.reports([]pathfinder.Stage{part})[e.ID]; ok {
 				m.f.recordPace(e.ID, e.Address, max(r.Pace, 1), true)
 			}
-		}()
+		})
 	}
 }
 
