Let resumed streams wait for the retry budget

A caller that resumes has used its retries, and loses what it has.

TestResumedStreamWaitsForTheBudget fails without the change (503 in place of 200).

--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -103,15 +103,19 @@
 	f.recordFinished(c, s)
 }
 
-// takeRetry takes a retry from the budget. A stream in progress waits for one until
-// budgetTimeout or until its caller leaves.
+// begun reports whether the caller has events of the answer: of this request or, if
+// it resumes a stream, of an earlier one.
+func (c *call) begun() bool { return c.answered || c.LastEventID != "" }
+
+// takeRetry takes a retry from the budget. A stream whose caller has events waits for
+// one until budgetTimeout or until its caller leaves.
 func (f *Forwarder) takeRetry(c *call) bool {
 	deadline := f.cfg.Now().Add(budgetTimeout)
 	for {
-		if f.cfg.Budget.TakeRetry(c.service, c.answered) {
+		if f.cfg.Budget.TakeRetry(c.service, c.begun()) {
 			return true
 		}
-		if !c.answered || f.cfg.Now().After(deadline) || !grouper.Sleep(c.r.Context(), budgetPollInterval) {
+		if !c.begun() || f.cfg.Now().After(deadline) || !grouper.Sleep(c.r.Context(), budgetPollInterval) {
 			f.cfg.Counters.Retries.Add("budget_spent", 1)
 			return false
 		}
--- a/internal/supervisor/forwarder/refusal_test.go
+++ b/internal/supervisor/forwarder/refusal_test.go
@@ -1,7 +1,9 @@
 package forwarder
 
 import (
+	"bytes"
 	"fmt"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,3 +53,46 @@
 		}
 	})
 }
+
+// All nodes have restarted, all callers resume their streams at once, and engines
+// without free memory refuse some while the retry budget is spent. A caller that
+// resumes has used its own retry: it waits for the budget. A new one is refused at once.
+func TestResumedStreamWaitsForTheBudget(t *testing.T) {
+	cases := []struct {
+		name   string
+		after  string
+		status int
+		took   time.Duration
+	}{
+		{"a new stream", "", 503, 0},
+		{"a resumed stream", "7", 200, 600 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				all, entries := engines(threeCentres())
+				e := emulator.New(emulator.Defaults(), all)
+				w := newHarness(t, e.Relay(), entries...)
+				w.retrySlack = 0
+				e.Shed("a0:1", 1)
+				began := time.Now()
+				time.AfterFunc(600*time.Millisecond, func() {
+					w.mu.Lock()
+					defer w.mu.Unlock()
+					w.retrySlack = 200
+				})
+				r := httptest.NewRequestWithContext(t.Context(), "POST", "http://"+host+pathLLM+"1", bytes.NewReader(emulator.Body(100, 4)))
+				r.Header.Set("ID", "r")
+				r.Header.Set("Key", secret)
+				r.Header.Set("After", c.after)
+				a := w.serve(r)
+				if got, want := a.Code, c.status; got != want {
+					t.Errorf("status: got %d, want %d", got, want)
+				}
+				if got, want := time.Since(began), c.took+time.Second; got > want {
+					t.Errorf("took: got %v, want at most %v", got, want)
+				}
+			})
+		})
+	}
+}
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -111,7 +111,11 @@
 		},
 		Relay: relay,
 		Budget: budgeter.New(budgeter.Config{
-			Limits: func() (float64, float64) { return 0.2, w.retrySlack }, Window: 10 * time.Second,
+			Limits: func() (float64, float64) {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				return 0.2, w.retrySlack
+			}, Window: 10 * time.Second,
 			Nodes:  func() int { return 1 },
 			Others: func(string) (budgeter.Usage, int) { return budgeter.Usage{}, 0 },
 			Now:    time.Now, Started: time.Now().Add(-time.Minute),
