Assume other data centres to be as loaded as the own one

Cause: in a large fleet nodes know the loads of their own data centre only.

Change: an engine of another data centre is assumed to have the mean load of this one's engines, at most 1, besides this node's own work there.

--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -94,6 +94,7 @@
 	centres := make(map[string]float64)
 	spread := unknownLoadSpread * unknownNear * criteria.members.medianLayerTime
 	similar := f.similarNodes()
+	assumed := f.assumedRemoteLoad(criteria.members)
 	for _, h := range criteria.members.holders {
 		if h.entry.Version != criteria.version || criteria.exclude[h.entry.ID] {
 			continue
@@ -103,6 +104,9 @@
 			continue
 		}
 		load := float64(f.usedTokens(h.entry.ID, rec.Tokens)+criteria.neededTokens) / float64(max(h.tokenCapacity, 1))
+		if h.entry.Centre != f.cfg.Centre {
+			load += assumed
+		}
 		factor := 1 + loadCost*math.Pow(load, loadExponent) + failureCost*rec.FailureRate + costNoise*rand.Float64()
 		if load > 1 {
 			factor += overloadCost
@@ -189,6 +193,24 @@
 	return used
 }
 
+// assumedRemoteLoad is the load that engines of other data centres are assumed to have
+// from nodes whose load is unknown: the mean load of this data centre's engines. All
+// data centres are loaded alike as a rule, and where one has lost engines, the nodes
+// there must not all choose the fastest engines elsewhere.
+func (f *Forwarder) assumedRemoteLoad(m *members) float64 {
+	if f.cfg.RemoteLoadsKnown() {
+		return 0
+	}
+	used, capacity := 0, 0
+	for _, h := range m.holders {
+		if h.entry.Centre == f.cfg.Centre {
+			used += f.usedTokens(h.entry.ID, f.assessor.Record(h.entry.ID).Tokens)
+			capacity += h.tokenCapacity
+		}
+	}
+	return min(float64(used)/float64(max(capacity, 1)), 1)
+}
+
 // similarNodes returns the number of near nodes whose load is unknown, including this
 // node. They are assumed to have the same load as this node.
 func (f *Forwarder) similarNodes() float64 {
--- a/internal/supervisor/forwarder/path_test.go
+++ b/internal/supervisor/forwarder/path_test.go
@@ -123,6 +123,38 @@
 	})
 }
 
+// A data centre has lost engines and those left are loaded, and its nodes don't know
+// the loads elsewhere. They must not take the fast engines of another data centre for
+// idle: an engine there that is as loaded as theirs is no better than their own.
+func TestUnknownRemoteLoadIsAssumedAlike(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, entries := engines(map[string][][2]int{"a": {{0, 40}, {40, 80}}, "b": {{0, 40}, {40, 80}}})
+		w := newHarness(t, driver.Relay{}, entries...)
+		known := false
+		w.f.cfg.RemoteLoadsKnown = func() bool { return known }
+		m, _ := w.f.members("llm")
+		load := 0.8
+		w.f.cfg.OtherTokens = func(id string) (int, int) {
+			h, _ := m.holder(id)
+			if strings.HasPrefix(id, "b") {
+				return 0, 0
+			}
+			return int(load * float64(h.tokenCapacity)), 0
+		}
+		if got, want := w.f.assumedRemoteLoad(m), load; got < want-0.01 || got > want+0.01 {
+			t.Errorf("unknown loads: got %.2f assumed, want %.2f", got, want)
+		}
+		load = 1.4
+		if got, want := w.f.assumedRemoteLoad(m), 1.0; got != want {
+			t.Errorf("overloaded here: got %.2f assumed, want %.2f: others may have room", got, want)
+		}
+		known = true
+		if got := w.f.assumedRemoteLoad(m); got != 0 {
+			t.Errorf("known loads: got %.2f assumed, want none", got)
+		}
+	})
+}
+
 // newHarnessMembers returns the members of a service with the given entries.
 func newHarnessMembers(entries []registrar.Entry, service mapper.Service) (*members, bool) {
 	changes := make([]registrar.Change, 0, len(entries))
