--- a/internal/supervisor/announcer/announcer.go
+++ b/internal/supervisor/announcer/announcer.go
@@ -58,7 +58,7 @@
 type Announcer struct {
 	cfg Config
 
-	// reading serializes the reads of the list.
+	// reading serialises the reads of the list.
 	reading sync.Mutex
 
 	mu     sync.Mutex
