Let requests wait only at nodes that have just started

Cause: read of the change that lets requests wait for a node's first read of the store: a node that the store rejects stays unready for a second or more, and each of its callers would wait 0.4 s of the 0.5 s in which it wants its first event, though other nodes serve it.

TestRequestsWaitForANodeThatStarts has the case; it fails without the limit (0.4 s in place of none).

--- a/internal/supervisor/forwarder/admit_test.go
+++ b/internal/supervisor/forwarder/admit_test.go
@@ -113,17 +113,20 @@
 // are used up: they wait for the fraction of a second that it takes.
 func TestRequestsWaitForANodeThatStarts(t *testing.T) {
 	cases := []struct {
-		name          string
+		name string
+		// age is the time since the node's start.
+		age           time.Duration
 		configuration time.Duration
 		table         time.Duration
 		status        int
 		took          time.Duration
 	}{
-		{"both read before", 0, 0, 200, 0},
-		{"the configuration read after 150 ms", 150 * time.Millisecond, 0, 200, 150 * time.Millisecond},
-		{"the endpoints read after 250 ms", 100 * time.Millisecond, 250 * time.Millisecond, 200, 250 * time.Millisecond},
-		{"nothing read", time.Hour, time.Hour, 503, readyTimeout},
-		{"no endpoints read", 0, time.Hour, 503, readyTimeout},
+		{"both read before", 0, 0, 0, 200, 0},
+		{"the configuration read after 150 ms", 0, 150 * time.Millisecond, 0, 200, 150 * time.Millisecond},
+		{"the endpoints read after 250 ms", 0, 100 * time.Millisecond, 250 * time.Millisecond, 200, 250 * time.Millisecond},
+		{"nothing read", 0, time.Hour, time.Hour, 503, readyTimeout},
+		{"no endpoints read", 0, 0, time.Hour, 503, readyTimeout},
+		{"nothing read for longer than other nodes take", readyPeriod, time.Hour, time.Hour, 503, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -131,6 +134,7 @@
 				var sent []driver.Forward
 				w := newHarness(t, scriptedRelay(&sent, signedReply(200, "ok")), plainEntries()...)
 				began, configuration := time.Now(), w.view.Configuration
+				w.f.started = began.Add(-c.age)
 				w.f.cfg.View = func() View {
 					if time.Since(began) < c.configuration {
 						return View{}
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -95,6 +95,7 @@
 	prober   *prober
 	monitor  *monitor
 	current  atomic.Pointer[endpointIndex]
+	started  time.Time
 }
 
 // New returns a forwarder.
@@ -105,7 +106,7 @@
 	if cfg.BufferBytes <= 0 {
 		cfg.BufferBytes = defaultBufferBytes
 	}
-	f := &Forwarder{cfg: cfg, buffers: bounder.NewPool(cfg.BufferBytes), assessor: assessor.New(cfg.Now)}
+	f := &Forwarder{cfg: cfg, buffers: bounder.NewPool(cfg.BufferBytes), assessor: assessor.New(cfg.Now), started: cfg.Now()}
 	f.monitor = newMonitor(f)
 	f.prober = newProber(cfg.Relay.Probe, cfg.Now, f.monitor.pausedSince)
 	return f
@@ -214,15 +215,21 @@
 	// not read the store. It is shorter than the time in which callers want the first
 	// byte, and leaves them enough to try another node.
 	readyTimeout = 400 * time.Millisecond
+	// readyPeriod is how long after its start a node lets requests wait: if it still
+	// isn't ready then, the store rejects it, and other nodes can serve the caller.
+	readyPeriod = 600 * time.Millisecond
 	// readyPollInterval is how often the request checks meanwhile.
 	readyPollInterval = 5 * time.Millisecond
 )
 
-// awaitReady waits until this node is ready, but no longer than readyTimeout. After a
-// restart of all nodes a refusal would send the caller to another one that isn't
-// ready, either.
+// awaitReady waits until this node is ready, for at most readyTimeout and until
+// readyPeriod after its start. After a restart of all nodes a refusal would send the
+// caller to another one that isn't ready, either.
 func (f *Forwarder) awaitReady(ctx context.Context) {
 	deadline := f.cfg.Now().Add(readyTimeout)
+	if end := f.started.Add(readyPeriod); end.Before(deadline) {
+		deadline = end
+	}
 	for !f.cfg.Ready() && f.cfg.Now().Before(deadline) && grouper.Sleep(ctx, readyPollInterval) {
 	}
 }
