Give each call to a plain service its own connection

Cause: idempotent calls used pooled connections. A service that sends a second copy of an answer late, when the next request is on the connection, has that caller given an answer that is not its own: answers of plain services don't name their request. Engines' steps do, and on the users' platform each request had its own connection.

Change: no connection of a service's client is used again. TestLateCopyOfAnAnswer fails without it (got '/1', want '/2'). TestDoDropsPoolAfterError becomes TestDoUsesAConnectionForEachCall: it demanded that the other connections of the pool be dropped after an error, 3 connections for 4 calls; now each call has one, which is stricter. Ruled out: dropping a connection with unread bytes before it is used again, as the copy may come after that.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -202,7 +202,7 @@
 
 // Service is a client of plain services.
 type Service struct {
-	// Do sends an idempotent call over pooled connections.
+	// Do sends an idempotent call over a connection of its own.
 	Do func(ctx context.Context, address string, call Call) (Answer, error)
 	// Once sends a non-idempotent call at most once, over a new connection that has
 	// been probed. An *Unsent error means that nothing was written; after any other
--- a/internal/driver/pool.go
+++ b/internal/driver/pool.go
@@ -34,7 +34,7 @@
 	defer p.mu.Unlock()
 	client := p.clients[address]
 	if client == nil {
-		client = newClient()
+		client, _ = newClient()
 		p.clients[address] = client
 	}
 	return client
@@ -52,20 +52,19 @@
 	}
 }
 
-// newClient returns an HTTP/1.1 client that doesn't follow redirects.
-func newClient() *http.Client {
+// newClient returns an HTTP/1.1 client that doesn't follow redirects, and its
+// transport.
+func newClient() (*http.Client, *http.Transport) {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
-	return &http.Client{
-		Transport: &http.Transport{
-			DialContext:            dialer.DialContext,
-			DisableCompression:     true,
-			MaxConnsPerHost:        maxConnsPerHost,
-			MaxIdleConnsPerHost:    maxIdlePerHost,
-			MaxResponseHeaderBytes: maxHeaderBytes,
-			IdleConnTimeout:        idleTimeout,
-		},
-		CheckRedirect: refuseRedirect,
+	transport := &http.Transport{
+		DialContext:            dialer.DialContext,
+		DisableCompression:     true,
+		MaxConnsPerHost:        maxConnsPerHost,
+		MaxIdleConnsPerHost:    maxIdlePerHost,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+		IdleConnTimeout:        idleTimeout,
 	}
+	return &http.Client{Transport: transport, CheckRedirect: refuseRedirect}, transport
 }
 
 // refuseRedirect makes the client return a redirect as the response.
--- a/internal/driver/service.go
+++ b/internal/driver/service.go
@@ -39,8 +39,10 @@
 
 // service implements the functions of a Service.
 type service struct {
-	cfg  ServiceConfig
-	pool *pool
+	cfg ServiceConfig
+	// client opens a connection for each call: services' answers don't name the request,
+	// so that a late copy of an earlier answer would be taken for the next one.
+	client *http.Client
 }
 
 // NewService returns a client of plain services.
@@ -51,12 +53,13 @@
 	if cfg.ProbeTimeout <= 0 {
 		cfg.ProbeTimeout = defaultProbeTimeout
 	}
-	s := &service{cfg: cfg, pool: newPool()}
+	client, transport := newClient()
+	transport.DisableKeepAlives = true
+	s := &service{cfg: cfg, client: client}
 	return Service{Do: s.do, Once: s.once}
 }
 
-// do sends an idempotent call over pooled connections; net/http may replay it. An
-// error drops all pooled connections to the address, since they may be broken, too.
+// do sends an idempotent call over a connection of its own.
 func (s *service) do(ctx context.Context, address string, call Call) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout(call))
 	defer cancel()
@@ -64,9 +67,8 @@
 	if err != nil {
 		return Answer{}, &Unsent{Err: err}
 	}
-	resp, err := s.pool.client(address).Do(req)
+	resp, err := s.client.Do(req)
 	if err != nil {
-		s.pool.drop(address)
 		return Answer{}, trace.ConnectionProblem(err, "calling %s %s at %s", call.Method, call.Path, address)
 	}
 	return newAnswer(resp, address)
