--- a/internal/supervisor/forwarder/move_test.go
+++ b/internal/supervisor/forwarder/move_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"banyanquay/internal/driver"
 	"banyanquay/internal/registrar"
 	"banyanquay/internal/standin/emulator"
 	"banyanquay/internal/supervisor/forwarder/pathfinder"
@@ -264,3 +265,30 @@
 	_, _ = fmt.Sscanf(w.latencies.Pauses.String()[strings.Index(w.latencies.Pauses.String(), "max_ms"):], `max_ms":%f}`, &s.Max)
 	return time.Duration(s.Max * float64(time.Millisecond))
 }
+
+// An engine gives up its layers for others while another engine of its streams' paths is
+// leaving, and nobody else in the data centre has the layers of that one yet. The streams
+// must still leave the first, which loads nothing before they have: they keep the part
+// at the engine that is leaving.
+func TestStreamsKeepTheirPartAtALeavingEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, entries := engines(map[string][][2]int{"a": {{0, 40}, {40, 60}, {60, 80}, {40, 60}}})
+		w := newHarness(t, driver.Relay{}, entries...)
+		path := make([]pathfinder.Stage, 0, 3)
+		for _, e := range entries[:3] {
+			path = append(path, pathfinder.Stage{ID: e.ID, Address: e.Address, Centre: e.Centre, First: e.First, Last: e.Last})
+		}
+		leaving := entries[2]
+		leaving.Leaving = true
+		moving := entries[1]
+		moving.First, moving.Last = 60, 80
+		w.table = w.table.With(time.Now(), time.Now(), []registrar.Change{
+			{ID: leaving.ID, Entry: &leaving}, {ID: moving.ID, Entry: &moving},
+		})
+		s := &session{f: w.f, c: &call{service: "llm", neededTokens: 1000}}
+		got, ok := w.f.monitor.alternativePath(s, snapshot{path: path}, []string{moving.Address})
+		if want := "a0:1 a3:1 a2:1"; !ok || strings.Join(addresses(got), " ") != want {
+			t.Errorf("got %v, %v, want %v", addresses(got), ok, want)
+		}
+	})
+}
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -57,7 +57,7 @@
 	// prefillSpreadTokens is the number of tokens over which the wait is spread for an
 	// engine that still prefills earlier prompts of this node. The wait delays one
 	// event, whereas a slow path delays all events.
-	prefillSpreadTokens = 10
+	prefillSpreadTokens = 4
 	// costNoise spreads equal choices, and restartNoise spreads streams that all
 	// restart at the same moment over the data centres.
 	costNoise    = 0.05
@@ -136,9 +136,24 @@
 		engine.StageCost += backlog
 		req.Engines = append(req.Engines, engine)
 	}
+	req.Engines = append(req.Engines, f.leavingStages(criteria)...)
 	return f.cfg.Find(req)
 }
 
+// leavingStages returns the kept stages of a stream's path whose engines are leaving.
+// They take no new streams, and serve those that they have to their end.
+func (f *Forwarder) leavingStages(criteria pathCriteria) []pathfinder.Engine {
+	var engines []pathfinder.Engine
+	table := f.cfg.Endpoints()
+	for _, p := range criteria.kept {
+		e, ok := table.Get(p.ID)
+		if ok && e.Leaving && p.First >= e.First && p.Last <= e.Last && !criteria.exclude[p.ID] {
+			engines = append(engines, keptStage(p).asEngine(pathfinder.Engine{ID: p.ID, Address: p.Address, Centre: p.Centre}))
+		}
+	}
+	return engines
+}
+
 // reusableStage returns the stage of a stream's path that an engine has, if it still
 // holds those layers.
 func (criteria pathCriteria) reusableStage(e registrar.Entry) (keptStage, bool) {
