--- a/internal/supervisor/arranger/plan.go
+++ b/internal/supervisor/arranger/plan.go
@@ -55,9 +55,6 @@
 	layers  int
 	centres map[string][]int
 	all     []int
-	// loaded counts, by data centre, the holders that have loaded the layer and keep
-	// it. The others in centres have been ordered to.
-	loaded map[string][]int
 	// ends marks, by data centre, the layers at which ranges begin or end.
 	ends map[string][]bool
 }
@@ -66,21 +63,17 @@
 func newPlan(layers int, holders []Holder) *plan {
 	p := &plan{
 		layers: layers, centres: make(map[string][]int), all: make([]int, layers),
-		loaded: make(map[string][]int), ends: make(map[string][]bool),
+		ends: make(map[string][]bool),
 	}
 	for _, h := range holders {
 		if p.centres[h.Centre] == nil {
 			p.centres[h.Centre] = make([]int, layers)
-			p.loaded[h.Centre] = make([]int, layers)
 			p.ends[h.Centre] = make([]bool, layers+1)
 			p.ends[h.Centre][0], p.ends[h.Centre][layers] = true, true
 		}
 		if !h.empty() {
 			p.count(h, 1)
 		}
-		if !h.empty() && !h.Fixed {
-			p.countLoaded(h, 1)
-		}
 	}
 	return p
 }
@@ -96,13 +89,6 @@
 	}
 }
 
-// countLoaded adds n loaded holders to each layer of a holder's range.
-func (p *plan) countLoaded(h Holder, n int) {
-	for l := max(h.First, 0); l < min(h.Last, p.layers); l++ {
-		p.loaded[h.Centre][l] += n
-	}
-}
-
 // Plan returns the ranges to order: for each empty engine the range with the highest
 // gain, and, while uncovered layers remain, uncovered ranges for engines whose
 // layers have other holders in their data centre. If layers of a data centre are
@@ -264,18 +250,16 @@
 		return Range{}, false
 	}
 	p.count(from, -1)
-	p.countLoaded(from, -1)
 	from.First, from.Last = best.First, best.Last
 	p.count(from, 1)
 	return best, true
 }
 
-// redundant reports whether each layer of an engine has another holder in its data
-// centre that has loaded it: an engine that gives up its layers serves no new request
-// from then on.
+// redundant reports whether each layer of an engine has another holder in its
+// data centre.
 func (p *plan) redundant(h Holder) bool {
 	for l := max(h.First, 0); l < min(h.Last, p.layers); l++ {
-		if p.loaded[h.Centre][l] < 2 {
+		if p.centres[h.Centre][l] < 2 {
 			return false
 		}
 	}
