--- a/internal/supervisor/addresses_test.go
+++ b/internal/supervisor/addresses_test.go
@@ -45,8 +45,10 @@
 // node, of their old data centre, too, must name the nodes of the new one.
 func TestMovedCallersGetNodesOfTheirNewDataCentre(t *testing.T) {
 	nodes := []tracker.Node{
-		{Address: "a1:1", Centre: "a"}, {Address: "a2:1", Centre: "a"},
-		{Address: "b1:1", Centre: "b"}, {Address: "b2:1", Centre: "b"},
+		{Address: "a1:1", Centre: "a"},
+		{Address: "a2:1", Centre: "a"},
+		{Address: "b1:1", Centre: "b"},
+		{Address: "b2:1", Centre: "b"},
 	}
 	for centre, want := range map[string]string{"a": "a1:9 a2:9", "b": "b1:9 b2:9", "unknown": "a1:9 a2:9 b1:9 b2:9"} {
 		if got := strings.Join(frontends(nodes, centre, "9"), " "); got != want {
