Log the shared parts of a prompt with each attempt that ended

Event 206 now has the parts of the prompt that other requests may share, whether the head of the answer had arrived, and whether the first engine was found to have ended.

--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -191,7 +191,7 @@
 	fw.Path, fw.Version = toDriverStages(path), s.version
 	reply, err := f.cfg.Relay.Send(ctx, path[0].Address, fw)
 	if err != nil {
-		f.attemptBroken(ctx, c, s, err, began)
+		f.attemptBroken(ctx, c, s, brokenAttempt{err: err, began: began})
 		return false, err
 	}
 	defer reply.Body.Close()
@@ -208,15 +208,23 @@
 		f.assessor.Succeeded(path[0].ID, f.cfg.Now().Sub(began))
 		return true, nil
 	}
-	f.attemptBroken(ctx, c, s, err, began)
+	f.attemptBroken(ctx, c, s, brokenAttempt{err: err, began: began, answering: true})
 	return false, err
 }
 
+// brokenAttempt is an attempt that ended without a complete answer.
+type brokenAttempt struct {
+	err   error
+	began time.Time
+	// answering is set if the head of the answer had arrived.
+	answering bool
+}
+
 // countRun counts an attempt that was sent as one that ran. It doesn't count
 // against the route's limit if its first engine has stopped.
-func (f *Forwarder) countRun(c *call, s *session, first string) {
+func (f *Forwarder) countRun(c *call, s *session, stopped bool) {
 	c.runs++
-	if !f.prober.stopped(first) {
+	if !stopped {
 		s.addRun()
 	}
 }
@@ -231,15 +239,17 @@
 }
 
 // attemptBroken handles an attempt that ended without a complete answer.
-func (f *Forwarder) attemptBroken(ctx context.Context, c *call, s *session, err error, began time.Time) {
+func (f *Forwarder) attemptBroken(ctx context.Context, c *call, s *session, broken brokenAttempt) {
 	cause := context.Cause(ctx)
 	if c.r.Context().Err() != nil {
 		return
 	}
 	first := s.snapshot().first()
 	var unsent *driver.Unsent
-	if !errors.As(err, &unsent) {
-		f.countRun(c, s, first.Address)
+	stopped := false
+	if !errors.As(broken.err, &unsent) {
+		stopped = f.prober.stopped(first.Address)
+		f.countRun(c, s, stopped)
 	}
 	if !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) {
 		// A stall has been attributed to the endpoint at fault already.
@@ -250,8 +260,9 @@
 	state := s.snapshot()
 	f.cfg.Recorder.Info(recorder.AttemptFailed,
 		zap.String("request", c.ID), zap.Strings("path", addresses(state.path)), zap.Int("send", c.sends),
-		zap.Int("events", state.events), zap.Duration("took", f.cfg.Now().Sub(began)),
-		zap.NamedError("cause", cause), zap.Error(err))
+		zap.Int("events", state.events), zap.Duration("took", f.cfg.Now().Sub(broken.began)),
+		zap.Bool("answering", broken.answering), zap.Bool("stopped", stopped), zap.Strings("prompt", c.SharedParts),
+		zap.NamedError("cause", cause), zap.Error(broken.err))
 }
 
 // attemptRefused handles a refusal by an engine of the path.
@@ -282,7 +293,7 @@
 	body, err := bounder.ReadAll(reply.Body, maxFailureBytes)
 	first := s.snapshot().first()
 	f.assessor.Failed(first.ID)
-	f.countRun(c, s, first.Address)
+	f.countRun(c, s, f.prober.stopped(first.Address))
 	f.markSuspect(first.ID, first.Address, failureBackoff, "failed")
 	c.tried[first.ID] = true
 	if err == nil && deliverableStatus(reply) && reply.Status >= http.StatusMultipleChoices {
--- a/internal/supervisor/forwarder/request.go
+++ b/internal/supervisor/forwarder/request.go
@@ -28,6 +28,9 @@
 	PromptTokens    int
 	MaxAnswerTokens int
 	AnswerHint      int
+	// SharedParts holds the IDs of the parts of the prompt that other requests may have,
+	// too, in their order.
+	SharedParts []string
 	// LastEventID is the ID of the last event that the caller has; empty if none.
 	LastEventID string
 }
