Quarantine parts of prompts under which engines crash

Cause: nothing connected the crashes of engines under different requests. Each request that crashes engines was served as any other, at any node, and the first of them was sent to three engines in 0.6 s, as an attempt at an engine that has ended doesn't count against the route's limit. Ruled out: orders beyond an engine's memory (none was given after -5 s), and streams that begin anew elsewhere (they went on there). A limit on retries alone doesn't help: in the first 20 s only one request crashed more than one engine, the others one each.

Change: the quarantiner attributes crashes to the shared parts of the prompts that were being answered, over all nodes, and clears those with which answers were written. Two engines that crashed under a part without an answer in between suffice. Requests with the part are refused with 5008 and the time until it may be served, those in progress without an event are cancelled. The verdict is kept in the store for nodes that start later.

Two tests count calls to the store, one a topic: there is a third topic now, and the bounds follow the same formula. TestStartReadsTheStoreOnce read the counter without its lock, which the race detector reported.

--- a/cmd/banyanquayd/platform.go
+++ b/cmd/banyanquayd/platform.go
@@ -26,6 +26,7 @@
 		Topics: store.Topics(), Relay: platform.NewEndpoints().Relay(),
 		ConfigTopic: platform.TopicConfig, ConfigKey: platform.KeyConfig,
 		EndpointTopic: platform.TopicEndpoints, NodeTopic: platform.TopicNodes, LeadTopic: platform.TopicLead,
+		QuarantineTopic:     platform.TopicQuarantine,
 		DecodeConfiguration: platform.Configuration, DecodeEntry: platform.Entry, DecodeRequest: platform.Request,
 		DiscoveryHandler: func(answer func(string) ([]string, time.Duration)) http.Handler {
 			return platform.DiscoveryHandler(func(d platform.DiscoveryQuery) ([]string, time.Duration) {
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -15,7 +15,8 @@
 	Retries *expvar.Map `expvar:"banyanquay.retries"`
 	// Stages counts replaced stages by how their KV caches were rebuilt, and failed
 	// cache imports by what failed. With relay.enabled it counts stalls, changed paths,
-	// endpoints that became suspect (doubts) by reason, and checks for stalls that came
+	// endpoints that became suspect (doubts) by reason, parts of prompts that were
+	// quarantined and released (parts_held, parts_released), and checks for stalls that came
 	// late because this process was paused (late_ticks).
 	Stages *expvar.Map `expvar:"banyanquay.stages"`
 	// Requests counts requests by outcome.
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -69,6 +69,8 @@
 	{EndpointSuspect, "An endpoint is suspect and gets no new work for a while, since work sent to it failed or stalled.", "Check the endpoint if it is often suspect."},
 	{StateFromPeer, "The platform's store does not answer this node, and another node sent the state that it knows, with its age.", "Check the connection from this node to the store."},
 	{EndpointSlow, "An engine reports that it is slower than usual; paths avoid it where possible.", "Check the engine if it stays slow."},
+	{PartHeld, "Engines crashed under requests with this part in their prompts; requests with it are refused for a while (5008). With the field full the part is not refused, since too many are.", "Find out who sends the part, and why engines crash on it."},
+	{PartReleased, "A part in quarantine turned out not to be the cause: another part explains the crashes, or an answer was written with it.", "Nothing."},
 	{LeaseTaken, "This node now holds the lease and sends the orders to endpoints.", "Nothing."},
 	{LeaseLost, "Another node sends the orders now.", "Nothing; check this node if it happens often."},
 	{LoadBegun, "An endpoint was chosen to load layers or adapters.", "Nothing."},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -84,6 +84,8 @@
 	EndpointSuspect                      // endpoint doubted
 	StateFromPeer                        // learnt from another node what the store did not tell
 	EndpointSlow                         // endpoint slow
+	PartHeld                             // part of prompts quarantined
+	PartReleased                         // part of prompts released
 )
 
 // Events of the placement.
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -25,6 +25,7 @@
 	"banyanquay/internal/supervisor/forwarder/budgeter"
 	"banyanquay/internal/supervisor/forwarder/pathfinder"
 	"banyanquay/internal/supervisor/listener"
+	"banyanquay/internal/supervisor/quarantiner"
 )
 
 // View is a configuration with the time at which it was last known to be the
@@ -55,6 +56,9 @@
 	BufferBytes int64
 	// Budget is the retry budget.
 	Budget *budgeter.Budgeter
+	// Quarantine knows the parts of prompts under which engines crash; nil means one that
+	// learns from this node alone.
+	Quarantine *quarantiner.Quarantiner
 	// Centre is this node's data centre.
 	Centre string
 	// MaxConfirmationAge returns the maximum age of the configuration's confirmation
@@ -106,6 +110,9 @@
 	if cfg.BufferBytes <= 0 {
 		cfg.BufferBytes = defaultBufferBytes
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = quarantiner.New(quarantiner.Config{Now: cfg.Now, Recorder: cfg.Recorder, Counters: cfg.Counters})
+	}
 	f := &Forwarder{cfg: cfg, buffers: bounder.NewPool(cfg.BufferBytes), assessor: assessor.New(cfg.Now), started: cfg.Now()}
 	f.monitor = newMonitor(f)
 	f.prober = newProber(cfg.Relay.Probe, cfg.Now, f.monitor.pausedSince)
@@ -152,6 +159,8 @@
 	version   int64
 	// neededTokens is the number of tokens that a generation is expected to hold.
 	neededTokens int
+	// parts are the parts of the prompt that other requests may have, too.
+	parts []quarantiner.Part
 	// lastEventID is the ID of the last event that the caller has. This field and
 	// those below belong to the request's goroutine.
 	lastEventID string
@@ -299,6 +308,7 @@
 		return refuser.New(refuser.BadRequest, "%v", err)
 	}
 	c.Request, c.neededTokens, c.lastEventID = req, req.estimatedTokens(), req.LastEventID
+	c.parts = quarantiner.Parts(req.SharedParts)
 	return nil
 }
 
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -19,6 +19,7 @@
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/supervisor/forwarder/pathfinder"
+	"banyanquay/internal/supervisor/quarantiner"
 )
 
 const (
@@ -49,10 +50,11 @@
 
 // Causes with which the context of an attempt is cancelled.
 var (
-	errSilent   = trace.ConnectionProblem(nil, "no event for %v", maxSilence)
-	errStalled  = trace.ConnectionProblem(nil, "no progress")
-	errEnded    = trace.ConnectionProblem(nil, "the attempt ended")
-	errDeadline = trace.LimitExceeded("the deadline of the request has passed")
+	errSilent      = trace.ConnectionProblem(nil, "no event for %v", maxSilence)
+	errStalled     = trace.ConnectionProblem(nil, "no progress")
+	errEnded       = trace.ConnectionProblem(nil, "the attempt ended")
+	errDeadline    = trace.LimitExceeded("the deadline of the request has passed")
+	errQuarantined = trace.AccessDenied("a part of the prompt was quarantined")
 )
 
 // generate runs a generation along a path of engines, and continues it along other
@@ -62,6 +64,10 @@
 	defer f.monitor.removeSession(s)
 	var lastErr error
 	for {
+		if r, held := f.quarantined(c); held {
+			f.failGeneration(c, s, f.generationRefusal(c, r, lastErr))
+			return
+		}
 		if c.sends > 0 && !f.takeRetry(c) {
 			f.failGeneration(c, s, f.generationRefusal(c, refuser.New(refuser.RetryBudgetSpent, "the retry budget is spent").WithWait(budgetRetryDelay()), lastErr))
 			return
@@ -206,6 +212,9 @@
 	if err == nil {
 		c.runs++
 		f.assessor.Succeeded(path[0].ID, f.cfg.Now().Sub(began))
+		if s.snapshot().attemptEvents < quarantiner.ProvenEvents {
+			f.cfg.Quarantine.RecordSound(c.parts)
+		}
 		return true, nil
 	}
 	f.attemptBroken(ctx, c, s, brokenAttempt{err: err, began: began, answering: true})
@@ -251,7 +260,10 @@
 		stopped = f.prober.stopped(first.Address)
 		f.countRun(c, s, stopped)
 	}
-	if !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) {
+	if stopped {
+		f.recordCrash(c, s.snapshot(), broken.answering)
+	}
+	if !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) && !errors.Is(cause, errQuarantined) {
 		// A stall has been attributed to the endpoint at fault already.
 		f.markSuspect(first.ID, first.Address, failureBackoff, "failed")
 		f.assessor.Failed(first.ID)
@@ -342,7 +354,9 @@
 			return trace.ConnectionProblem(err, "writing to the caller")
 		}
 		c.lastEventID = e.id
-		s.recordEvent(f.cfg.Now())
+		if s.recordEvent(f.cfg.Now()) == quarantiner.ProvenEvents {
+			f.cfg.Quarantine.RecordSound(c.parts)
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/supervisor/forwarder/quarantine_test.go
@@ -0,0 +1,176 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/registrar"
+	"banyanquay/internal/supervisor/quarantiner"
+)
+
+// crashingEngines are engines that hold all layers and crash when they begin to answer
+// a request with the fatal part.
+type crashingEngines struct {
+	mu sync.Mutex
+	// downUntil is when an engine that crashed is back.
+	downUntil map[string]time.Time
+	crashes   int
+	fatal     int
+}
+
+// relay returns the engines' calls.
+func (e *crashingEngines) relay() driver.Relay {
+	return driver.Relay{
+		Probe: func(_ context.Context, address string) error {
+			if e.down(address) {
+				return syscall.ECONNREFUSED
+			}
+			return nil
+		},
+		Send: e.send,
+		Report: func(context.Context, string, string) (driver.Report, error) {
+			return driver.Report{Pace: 1}, nil
+		},
+	}
+}
+
+func (e *crashingEngines) down(address string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.downUntil[address])
+}
+
+// send answers with four events; with the fatal part it crashes the engine instead.
+func (e *crashingEngines) send(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+	if e.down(address) {
+		return driver.Reply{}, &driver.Unsent{Err: syscall.ECONNREFUSED}
+	}
+	fatal := slices.Contains(strings.Fields(f.Header.Get("Parts")), "fatal")
+	if fatal {
+		e.mu.Lock()
+		e.fatal++
+		e.mu.Unlock()
+	}
+	select {
+	case <-ctx.Done():
+		return driver.Reply{}, context.Cause(ctx)
+	case <-time.After(60 * time.Millisecond):
+	}
+	if e.down(address) {
+		return driver.Reply{}, syscall.ECONNRESET
+	}
+	reply := driver.Reply{Status: 200, Signed: true, Header: http.Header{}}
+	if fatal {
+		e.mu.Lock()
+		e.downUntil[address] = time.Now().Add(3 * time.Second)
+		e.crashes++
+		e.mu.Unlock()
+		reply.Body = io.NopCloser(failingReader{})
+		return reply, nil
+	}
+	reply.Body = io.NopCloser(strings.NewReader("id: 1\ndata: x\n\nid: 2\ndata: x\n\nid: 3\ndata: x\n\nid: 4\ndata: x\n\n"))
+	return reply, nil
+}
+
+// sendParts sends a request whose prompt has the given shared parts.
+func (w *harness) sendParts(ctx context.Context, id, parts string) response {
+	r := httptest.NewRequestWithContext(ctx, "POST", "http://"+host+pathLLM+"1", strings.NewReader("800,200"))
+	r.Header.Set("ID", id)
+	r.Header.Set("Key", secret)
+	r.Header.Set("Parts", parts)
+	return w.serve(r)
+}
+
+// newCrashWorld returns a forwarder before ten engines that each hold all layers.
+func newCrashWorld(t *testing.T) (*crashingEngines, *harness) {
+	e := &crashingEngines{downUntil: make(map[string]time.Time)}
+	var entries []registrar.Entry
+	for n := range 10 {
+		id := fmt.Sprint("e", n)
+		entries = append(entries, registrar.Entry{
+			ID: id, Service: "llm", Address: id + ":1", Centre: "a", Accelerator: "l4", Model: "m", Version: "1", First: 0, Last: 80, Slots: 192,
+		})
+	}
+	w := newHarness(t, e.relay(), entries...)
+	return e, w
+}
+
+// Guards against a request that crashes its engine, is sent on to further ones, and is
+// followed by others with the same part in their prompts.
+func TestFatalPartReachesFewEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, w := newCrashWorld(t)
+		var sound atomic.Int64
+		var wg sync.WaitGroup
+		for n := range 100 {
+			w.mu.Lock()
+			w.view.Confirmed = time.Now()
+			w.mu.Unlock()
+			wg.Go(func() {
+				if a := w.sendParts(t.Context(), fmt.Sprint("s", n), "shared"); a.Code == 200 && !a.aborted {
+					sound.Add(1)
+				}
+			})
+			if n%3 == 0 {
+				wg.Go(func() {
+					a := w.sendParts(t.Context(), fmt.Sprint("f", n), "shared fatal")
+					if a.Code != http.StatusBadGateway && a.Code != http.StatusServiceUnavailable {
+						t.Errorf("a request that crashes engines: got %d, want 502, or 503 if it was not sent", a.Code)
+					}
+					wait, _ := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
+					if a.Code == http.StatusServiceUnavailable && wait < 60 {
+						t.Errorf("Retry-After: got %v s, want the minutes until the part may be served", wait)
+					}
+				})
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		wg.Wait()
+		if e.crashes < 2 || e.crashes > 3 {
+			t.Errorf("engines that crashed: got %d, want 2 or 3 of 10", e.crashes)
+		}
+		if got, want := int(sound.Load()), 95; got < want {
+			t.Errorf("sound requests that were answered: got %d of 100, want at least %d", got, want)
+		}
+	})
+}
+
+// Requests that an engine is still reading when their part is quarantined are ended
+// before the engine crashes, too.
+func TestQuarantineEndsRequestsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e, w := newCrashWorld(t)
+		w.f.cfg.Quarantine.RecordCrash("x1", quarantiner.Parts([]string{"fatal"}), true)
+		time.Sleep(200 * time.Millisecond)
+		var code int
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			code = w.sendParts(t.Context(), "f1", "fatal").Code
+		}()
+		time.Sleep(30 * time.Millisecond)
+		w.f.cfg.Quarantine.RecordCrash("x2", quarantiner.Parts([]string{"fatal"}), true)
+		w.f.EndQuarantined()
+		<-done
+		if got, want := code, http.StatusBadGateway; got != want {
+			t.Errorf("status: got %d, want %d: the request was sent", got, want)
+		}
+		time.Sleep(time.Second)
+		if e.crashes != 0 {
+			t.Errorf("engines that crashed: got %d, want none", e.crashes)
+		}
+	})
+}
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -99,8 +99,9 @@
 	s.runs++
 }
 
-// recordEvent records the arrival of an event.
-func (s *session) recordEvent(now time.Time) {
+// recordEvent records the arrival of an event and returns the number of events of the
+// attempt.
+func (s *session) recordEvent(now time.Time) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.events > 0 {
@@ -126,6 +127,7 @@
 		s.evacuationDue, s.recovering = false, true
 		s.f.start("evacuation", func() { s.f.monitor.evacuate(s) })
 	}
+	return s.attemptEvents
 }
 
 // snapshot is a session's state at one moment. It is an immutable value.
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -147,8 +147,9 @@
 	_, _ = fmt.Sscanf(string(body), "%d,%d", &prompt, &answer)
 	return Request{
 		ID: r.Header.Get("ID"), Method: r.Method, Path: r.URL.Path, Target: r.URL.RequestURI(), Host: r.Host,
-		Header: http.Header{}, Body: body, Key: r.Header.Get("Key"), Timeout: 4 * time.Second, Arrived: arrived,
+		Header: http.Header{"Parts": r.Header["Parts"]}, Body: body, Key: r.Header.Get("Key"), Timeout: 4 * time.Second, Arrived: arrived,
 		PromptTokens: prompt, MaxAnswerTokens: answer, LastEventID: r.Header.Get("After"),
+		SharedParts: strings.Fields(r.Header.Get("Parts")),
 	}, nil
 }
 
--- a/internal/supervisor/linker/linker.go
+++ b/internal/supervisor/linker/linker.go
@@ -35,9 +35,10 @@
 	Nodes TopicID = iota + 1
 	Endpoints
 	Engines
+	Quarantine
 
 	// lastTopic is the highest topic ID in use.
-	lastTopic = Engines
+	lastTopic = Quarantine
 )
 
 // Subject selects the handler of a query; the numbers are the same at all nodes.
--- /dev/null
+++ b/internal/supervisor/quarantiner/exchange.go
@@ -0,0 +1,248 @@
+package quarantiner
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"banyanquay/internal/encoder"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/supervisor/linker"
+)
+
+const (
+	// maxNews bounds what waits to be told to a peer, and maxMessageParts the parts of one
+	// crash that a peer tells.
+	maxNews         = 2 * maxEvidence
+	maxMessageParts = 16
+	// maxTold bounds the age that a peer may tell.
+	maxTold = 24 * time.Hour
+)
+
+// message is what one node tells another. Ages are as of when it is sent.
+type message struct {
+	Crashes []crash     `cbor:"1,keyasint,omitempty"`
+	Sound   []sound     `cbor:"2,keyasint,omitempty"`
+	Held    []heldUntil `cbor:"3,keyasint,omitempty"`
+}
+
+// crash is a piece of evidence.
+type crash struct {
+	_         struct{} `cbor:",toarray"`
+	Engine    string
+	AgeMillis int64
+	Answering bool
+	Parts     []Part
+}
+
+// sound is a part with which an answer was written.
+type sound struct {
+	_         struct{} `cbor:",toarray"`
+	Part      Part
+	AgeMillis int64
+}
+
+// heldUntil is a part in quarantine.
+type heldUntil struct {
+	_               struct{} `cbor:",toarray"`
+	Part            Part
+	RemainingMillis int64
+	Times           int
+}
+
+// news is what is still to be told to a peer.
+type news struct {
+	crashes []evidence
+	// sound and held are parts; what is told of them is as of when it is sent.
+	sound []Part
+	held  []Part
+}
+
+// add adds other news, unless there are too many already: the peer then learns the
+// verdict, if not the evidence, from the store or with the next link.
+func (n *news) add(other news) {
+	if len(n.crashes)+len(n.sound)+len(n.held) >= maxNews {
+		return
+	}
+	n.crashes = append(n.crashes, other.crashes...)
+	n.sound = append(n.sound, other.sound...)
+	n.held = append(n.held, other.held...)
+}
+
+// newsOf returns evidence with what this node knows of its parts. The caller must hold mu.
+func (q *Quarantiner) newsOf(e evidence) news {
+	n := news{crashes: []evidence{e}}
+	for _, p := range e.parts {
+		if _, ok := q.sound[p]; ok {
+			n.sound = append(n.sound, p)
+		}
+	}
+	return n
+}
+
+// tell queues news for all peers but the one that they came from. The caller must hold
+// mu.
+func (q *Quarantiner) tell(n news, from string) {
+	if len(n.crashes)+len(n.sound)+len(n.held) == 0 {
+		return
+	}
+	for id, p := range q.peers {
+		if id != from {
+			p.add(n)
+		}
+	}
+	if q.cfg.Links != nil {
+		q.cfg.Links.ScheduleFlush()
+	}
+}
+
+// linkUp queues all that this node knows for a new peer.
+func (q *Quarantiner) linkUp(link linker.Link) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	all := &news{held: slices.Collect(maps.Keys(q.holds))}
+	for _, e := range q.evidence {
+		all.add(q.newsOf(e))
+	}
+	q.peers[link.ID] = all
+}
+
+func (q *Quarantiner) linkDown(link linker.Link) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.peers, link.ID)
+}
+
+// flush returns the message for a peer, or nil if there is none.
+func (q *Quarantiner) flush(link linker.Link) []byte {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	p := q.peers[link.ID]
+	if p == nil || len(p.crashes)+len(p.sound)+len(p.held) == 0 {
+		return nil
+	}
+	body, err := encoder.CBOR(q.message(*p))
+	*p = news{}
+	if err != nil {
+		q.cfg.Recorder.Error(recorder.ListBadRecord, zap.String("node", link.Address), zap.Error(err))
+		return nil
+	}
+	return body
+}
+
+// message returns news in the form in which they are sent. The caller must hold mu.
+func (q *Quarantiner) message(n news) message {
+	now := q.cfg.Now()
+	var m message
+	for _, e := range n.crashes {
+		m.Crashes = append(m.Crashes, crash{
+			Engine: e.engine, AgeMillis: now.Sub(e.at).Milliseconds(), Answering: e.answering, Parts: e.parts,
+		})
+	}
+	for _, p := range n.sound {
+		if at, ok := q.sound[p]; ok {
+			m.Sound = append(m.Sound, sound{Part: p, AgeMillis: now.Sub(at).Milliseconds()})
+		}
+	}
+	for _, p := range n.held {
+		if h, ok := q.holds[p]; ok && now.Before(h.until) {
+			m.Held = append(m.Held, heldUntil{Part: p, RemainingMillis: h.until.Sub(now).Milliseconds(), Times: h.times})
+		}
+	}
+	return m
+}
+
+// receive handles a message from a peer, and relays what is new: in a large fleet a node
+// has links with few others.
+func (q *Quarantiner) receive(link linker.Link, body []byte) {
+	m, err := encoder.FromCBOR[message](body)
+	if err != nil {
+		q.cfg.Recorder.Warn(recorder.ListBadRecord, zap.String("node", link.Address), zap.Error(err))
+		return
+	}
+	q.update(func() { q.tell(q.merge(m, link.ID), link.ID) })
+}
+
+// merge merges a peer's message and returns what was new in it. What this node knows to
+// be sound of a crash's parts is told to all, the peer included. The caller must hold mu.
+func (q *Quarantiner) merge(m message, peer string) news {
+	now := q.cfg.Now()
+	var fresh news
+	told := make(map[Part]time.Time)
+	for _, s := range m.Sound {
+		if !plausible(s.AgeMillis) {
+			continue
+		}
+		told[s.Part] = now.Add(-millis(s.AgeMillis))
+		if q.mergeSound(s.Part, told[s.Part], now) {
+			fresh.sound = append(fresh.sound, s.Part)
+		}
+	}
+	for _, c := range m.Crashes {
+		if len(c.Parts) == 0 || len(c.Parts) > maxMessageParts || !plausible(c.AgeMillis) {
+			continue
+		}
+		e := evidence{engine: c.Engine, at: now.Add(-millis(c.AgeMillis)), answering: c.Answering, parts: c.Parts}
+		if !q.add(e) {
+			continue
+		}
+		n := q.newsOf(e)
+		fresh.add(n)
+		for _, p := range n.sound {
+			if back := q.peers[peer]; back != nil && q.sound[p].After(told[p]) {
+				back.add(news{sound: []Part{p}})
+			}
+		}
+	}
+	for _, h := range m.Held {
+		if plausible(h.RemainingMillis) && q.mergeHold(h.Part, hold{until: now.Add(millis(h.RemainingMillis)), times: h.Times}) {
+			fresh.held = append(fresh.held, h.Part)
+		}
+	}
+	return fresh
+}
+
+// mergeSound records that an answer was written with a part elsewhere, and reports
+// whether that refutes evidence. The caller must hold mu.
+func (q *Quarantiner) mergeSound(p Part, at, now time.Time) bool {
+	if old, known := q.sound[p]; known && !at.After(old) {
+		return false
+	}
+	suspected := q.suspected(p)
+	q.sound[p] = at
+	q.pruneSound(now)
+	return suspected
+}
+
+// mergeHold quarantines a part that another node has quarantined, and reports whether
+// it was not in quarantine here. An answer that was written with it since this node's
+// last evidence speaks against it. The caller must hold mu.
+func (q *Quarantiner) mergeHold(p Part, h hold) bool {
+	now := q.cfg.Now()
+	if limit := now.Add(maxHoldTime); h.until.After(limit) {
+		h.until = limit
+	}
+	if !now.Before(h.until) {
+		return false
+	}
+	if old, ok := q.holds[p]; ok && now.Before(old.until) {
+		if h.stored && !old.stored {
+			old.stored = true
+			q.holds[p] = old
+		}
+		return false
+	}
+	if at, ok := q.sound[p]; ok && now.Sub(at) < evidenceTTL && !q.suspected(p) {
+		return false
+	}
+	q.hold(p, h)
+	return true
+}
+
+// plausible reports whether a time that another process told is neither negative nor
+// absurdly long.
+func plausible(ms int64) bool { return ms >= 0 && ms <= maxTold.Milliseconds() }
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/supervisor/quarantiner/quarantiner.go
@@ -0,0 +1,305 @@
+// Package quarantiner finds parts of prompts under which engines crash, and keeps
+// requests with such a part from reaching further engines. The nodes exchange which
+// requests were in progress at engines that crashed, and with which parts answers were
+// written, so that all of them reach the same verdict; what is quarantined is also kept
+// in the platform's store, for nodes that start later.
+package quarantiner
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/provider"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/supervisor/linker"
+)
+
+const (
+	// ProvenEvents is the number of events after which an answer shows that its prompt
+	// does not crash the engine.
+	ProvenEvents = 3
+	// holdTime is how long a part is quarantined the first time. It doubles each time,
+	// up to maxHoldTime; from the second time on, one crash suffices.
+	holdTime    = 10 * time.Minute
+	maxHoldTime = 4 * time.Hour
+	// maxHolds bounds the parts in quarantine, and maxSound those that are known to be
+	// sound.
+	maxHolds = 256
+	maxSound = 8192
+	// waitingRate and waitingBurst limit the crashes per second that a node tells the
+	// others of requests whose answer had not begun: when many engines crash at once,
+	// there are hundreds of these.
+	waitingRate  = 4
+	waitingBurst = 12
+)
+
+// Config configures a Quarantiner. Its functions are safe for concurrent use.
+type Config struct {
+	// Links is nil if there are no other nodes.
+	Links *linker.Linker
+	// Topics is the platform's store, and Topic holds one record for each part in
+	// quarantine.
+	Topics provider.Topics
+	Topic  string
+	// IsWriter reports whether this node is among those that write the record of a part.
+	IsWriter func(key string) bool
+	// OnHold is called after parts have been quarantined.
+	OnHold   func()
+	Now      func() time.Time
+	Recorder *recorder.Recorder
+	Counters *counter.Set
+}
+
+// hold is a part in quarantine.
+type hold struct {
+	until time.Time
+	// times counts how often the part was quarantined.
+	times int
+	// decided is when this node reached the verdict itself; zero if it learnt of it.
+	decided time.Time
+	// since is the time of the first evidence behind that verdict, which may be revised
+	// until that evidence is dropped. It is zero for a part that was in quarantine before:
+	// one crash sufficed.
+	since time.Time
+	// stored is set once the store has the record.
+	stored bool
+}
+
+// Quarantiner decides which parts are in quarantine. It is safe for concurrent use.
+type Quarantiner struct {
+	cfg Config
+
+	mu       sync.Mutex
+	evidence []evidence
+	// sound holds when an answer was last written with a part.
+	sound map[Part]time.Time
+	// holds keeps a part for a while after the end of its quarantine, for its count.
+	holds map[Part]hold
+	// held counts the times that a part was quarantined.
+	held  int
+	peers map[string]*news
+	// waiting limits what is told of requests whose answer had not begun.
+	waiting *rate.Limiter
+}
+
+// New returns a Quarantiner without any parts, and registers it with the links.
+func New(cfg Config) *Quarantiner {
+	q := &Quarantiner{
+		cfg: cfg, sound: make(map[Part]time.Time), holds: make(map[Part]hold), peers: make(map[string]*news),
+		waiting: rate.NewLimiter(waitingRate, waitingBurst),
+	}
+	if cfg.Links != nil {
+		cfg.Links.Register(linker.Quarantine, linker.Topic{
+			LinkUp: q.linkUp, LinkDown: q.linkDown, Flush: q.flush, Receive: q.receive,
+		})
+	}
+	return q
+}
+
+// Parts returns the parts with the given IDs.
+func Parts(ids []string) []Part {
+	parts := make([]Part, 0, len(ids))
+	for _, id := range ids {
+		parts = append(parts, Part(xxhash.Sum64String(id)))
+	}
+	return parts
+}
+
+// key returns the part's name in records and logs.
+func (p Part) key() string { return fmt.Sprintf("%016x", uint64(p)) }
+
+// Held returns a part that is in quarantine and how much longer it is, and whether
+// there is one.
+func (q *Quarantiner) Held(parts []Part) (key string, remaining time.Duration, ok bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.holds) == 0 {
+		return "", 0, false
+	}
+	now := q.cfg.Now()
+	for _, p := range parts {
+		if h, found := q.holds[p]; found && now.Before(h.until) {
+			return p.key(), h.until.Sub(now), true
+		}
+	}
+	return "", 0, false
+}
+
+// RecordCrash records a request that was in progress at an engine when that crashed, and
+// that had fewer than ProvenEvents. answering is set if its answer had begun without an
+// event.
+func (q *Quarantiner) RecordCrash(engine string, parts []Part, answering bool) {
+	if len(parts) == 0 {
+		return
+	}
+	q.update(func() {
+		e := evidence{engine: engine, at: q.cfg.Now(), answering: answering, parts: parts}
+		if q.add(e) && (answering || q.waiting.AllowN(e.at, 1)) {
+			q.tell(q.newsOf(e), "")
+		}
+	})
+}
+
+// RecordSound records that an answer was written with the given parts.
+func (q *Quarantiner) RecordSound(parts []Part) {
+	if len(parts) == 0 {
+		return
+	}
+	q.update(func() {
+		now := q.cfg.Now()
+		for _, p := range parts {
+			suspected := q.suspected(p)
+			q.sound[p] = now
+			if suspected {
+				q.tell(news{sound: []Part{p}}, "")
+			}
+		}
+		q.pruneSound(now)
+	})
+}
+
+// update changes what is known and applies the verdict that follows.
+func (q *Quarantiner) update(change func()) {
+	q.mu.Lock()
+	before := q.held
+	change()
+	if len(q.evidence) > 0 {
+		q.settle()
+	}
+	added := q.held > before
+	q.mu.Unlock()
+	if added && q.cfg.OnHold != nil {
+		q.cfg.OnHold()
+	}
+}
+
+// suspected reports whether there is evidence against a part that its last answer
+// doesn't refute. The caller must hold mu.
+func (q *Quarantiner) suspected(p Part) bool {
+	at, known := q.sound[p]
+	return slices.ContainsFunc(q.evidence, func(e evidence) bool {
+		return slices.Contains(e.parts, p) && (!known || at.Before(e.at))
+	})
+}
+
+// add adds evidence unless it is known, and reports whether it was added. The caller
+// must hold mu.
+func (q *Quarantiner) add(e evidence) bool {
+	now := q.cfg.Now()
+	q.evidence = slices.DeleteFunc(q.evidence, func(old evidence) bool { return now.Sub(old.at) > evidenceTTL })
+	for i, old := range q.evidence {
+		if old.same(e) {
+			if e.answering && !old.answering {
+				q.evidence[i] = e
+				return true
+			}
+			return false
+		}
+	}
+	if now.Sub(e.at) > evidenceTTL {
+		return false
+	}
+	if len(q.evidence) >= maxEvidence {
+		oldest := max(slices.IndexFunc(q.evidence, func(old evidence) bool { return !old.answering }), 0)
+		q.evidence = slices.Delete(q.evidence, oldest, oldest+1)
+	}
+	q.evidence = append(q.evidence, e)
+	return true
+}
+
+// settle applies the verdict on the evidence: it quarantines parts, and releases those
+// against which the same evidence no longer suffices, as other parts explain it or answers
+// were written with them. The caller must hold mu.
+func (q *Quarantiner) settle() {
+	now := q.cfg.Now()
+	fatal := judge(q.evidence, q.sound)
+	for p := range fatal {
+		q.renew(p, q.firstNamed(p))
+	}
+	for p, h := range q.holds {
+		if slices.ContainsFunc(q.evidence, func(e evidence) bool {
+			return e.answering && !e.at.Before(h.until) && e.accuses(p, q.sound)
+		}) {
+			q.renew(p, time.Time{})
+		}
+	}
+	for p, h := range q.holds {
+		if !h.decided.IsZero() && now.Before(h.until) && !fatal[p] && now.Sub(h.since) < evidenceTTL {
+			q.release(p)
+		}
+	}
+}
+
+// renew quarantines a part by this node's own verdict, unless it is in quarantine. The
+// caller must hold mu.
+func (q *Quarantiner) renew(p Part, since time.Time) {
+	now, h := q.cfg.Now(), q.holds[p]
+	if now.Before(h.until) {
+		return
+	}
+	q.hold(p, hold{until: now.Add(min(holdTime<<min(h.times, 10), maxHoldTime)), times: h.times + 1, decided: now, since: since})
+}
+
+// firstNamed returns the time of the first evidence that names a part. The caller must
+// hold mu.
+func (q *Quarantiner) firstNamed(p Part) time.Time {
+	first := q.cfg.Now()
+	for _, e := range q.evidence {
+		if slices.Contains(e.parts, p) && e.at.Before(first) {
+			first = e.at
+		}
+	}
+	return first
+}
+
+// hold quarantines a part. The caller must hold mu.
+func (q *Quarantiner) hold(p Part, h hold) {
+	if _, known := q.holds[p]; !known && len(q.holds) >= maxHolds {
+		now := q.cfg.Now()
+		maps.DeleteFunc(q.holds, func(_ Part, old hold) bool { return !now.Before(old.until) })
+	}
+	if _, known := q.holds[p]; !known && len(q.holds) >= maxHolds {
+		q.cfg.Counters.Stages.Add("quarantine_full", 1)
+		q.cfg.Recorder.Warn(recorder.PartHeld, zap.String("part", p.key()), zap.Bool("full", true))
+		return
+	}
+	q.holds[p] = h
+	q.held++
+	engines := make(map[string]bool)
+	for _, e := range q.evidence {
+		if slices.Contains(e.parts, p) {
+			engines[e.engine] = true
+		}
+	}
+	q.cfg.Counters.Stages.Add("parts_held", 1)
+	q.cfg.Recorder.Warn(recorder.PartHeld,
+		zap.String("part", p.key()), zap.Strings("engines", slices.Sorted(maps.Keys(engines))), zap.Int("times", h.times),
+		zap.Duration("for", h.until.Sub(q.cfg.Now())), zap.Bool("decided", !h.decided.IsZero()))
+}
+
+// release ends the quarantine of a part that turned out not to be the cause. The caller
+// must hold mu.
+func (q *Quarantiner) release(p Part) {
+	delete(q.holds, p)
+	q.cfg.Counters.Stages.Add("parts_released", 1)
+	q.cfg.Recorder.Info(recorder.PartReleased, zap.String("part", p.key()))
+}
+
+// pruneSound drops the older half of the parts that are known to be sound if there are
+// too many. The caller must hold mu.
+func (q *Quarantiner) pruneSound(now time.Time) {
+	if len(q.sound) <= maxSound {
+		return
+	}
+	times := slices.SortedFunc(maps.Values(q.sound), time.Time.Compare)
+	middle := times[len(times)/2]
+	maps.DeleteFunc(q.sound, func(_ Part, at time.Time) bool { return !at.After(middle) && at.Before(now) })
+}
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -34,6 +34,7 @@
 	"banyanquay/internal/supervisor/forwarder/budgeter"
 	"banyanquay/internal/supervisor/linker"
 	"banyanquay/internal/supervisor/listener"
+	"banyanquay/internal/supervisor/quarantiner"
 	"banyanquay/internal/supervisor/reloader"
 	"banyanquay/internal/supervisor/summarizer"
 	"banyanquay/internal/supervisor/syncer"
@@ -74,6 +75,9 @@
 	// maxSmallFleet is the maximum number of nodes that send each other their loads
 	// over links. A node has links with about eight others.
 	maxSmallFleet = 16
+	// quarantineWriters is the number of nodes that write the record of a part in
+	// quarantine, in case some of them fail at that moment.
+	quarantineWriters = 3
 )
 
 // Platform gives access to the platform. Its functions are safe for concurrent use.
@@ -81,13 +85,14 @@
 	Topics provider.Topics
 	Relay  driver.Relay
 	// ConfigTopic and ConfigKey locate the record of the configuration.
-	// EndpointTopic has one record per endpoint, NodeTopic one per node, and
-	// LeadTopic one for the node that leads.
-	ConfigTopic   string
-	ConfigKey     string
-	EndpointTopic string
-	NodeTopic     string
-	LeadTopic     string
+	// EndpointTopic has one record per endpoint, NodeTopic one per node, LeadTopic one
+	// for the node that leads, and QuarantineTopic one per part of a prompt in quarantine.
+	ConfigTopic     string
+	ConfigKey       string
+	EndpointTopic   string
+	NodeTopic       string
+	LeadTopic       string
+	QuarantineTopic string
 	// DecodeConfiguration, DecodeEntry and DecodeRequest decode the operator's
 	// configuration, the entries of endpoints and the requests of callers.
 	DecodeConfiguration func(data []byte) (*mapper.Configuration, error)
@@ -128,6 +133,7 @@
 	budget      *budgeter.Budgeter
 	elector     *elector.Elector
 	arranger    *arranger.Arranger
+	quarantiner *quarantiner.Quarantiner
 	forwarder   *forwarder.Forwarder
 	reloader    *reloader.Reloader
 }
@@ -161,6 +167,8 @@
 	r.reloader = reloader.New(reloader.Config{Path: cfg.Path, Initial: s, Recorder: r.recorder})
 	r.syncer = syncer.New(syncer.Config{
 		Topics: p.Topics, ConfigTopic: p.ConfigTopic, ConfigKey: p.ConfigKey, EndpointTopic: p.EndpointTopic,
+		QuarantineTopic:     p.QuarantineTopic,
+		HandleQuarantine:    func(items []provider.Item) { r.quarantiner.HandleRecords(items) },
 		DecodeConfiguration: p.DecodeConfiguration, DecodeEntry: p.DecodeEntry, Now: r.clock.Now,
 		Starting: r.starting, IsReader: r.isReader, Readers: r.readers, Peers: r.peers,
 		Query: func(ctx context.Context, address string, query []byte) ([]byte, error) {
@@ -187,6 +195,11 @@
 		Paces:             func() map[string]float64 { return r.forwarder.Paces() },
 		HandlePace:        func(id string, pace float64) { r.forwarder.SetPace(id, pace) },
 	})
+	r.quarantiner = quarantiner.New(quarantiner.Config{
+		Links: r.linker, Topics: p.Topics, Topic: p.QuarantineTopic, IsWriter: r.writesQuarantine,
+		OnHold: func() { r.forwarder.EndQuarantined() },
+		Now:    r.clock.Now, Recorder: r.recorder, Counters: cfg.Counters,
+	})
 	r.budget = budgeter.New(budgeter.Config{
 		Window: s.Relay.RetryWindow.Duration, Others: r.broadcaster.PeerSpent, Now: r.clock.Now,
 		Nodes: r.countNodes,
@@ -199,6 +212,7 @@
 		Decode: p.DecodeRequest, View: r.syncer.View, Endpoints: r.syncer.Table, Ready: r.syncer.Ready, Relay: p.Relay,
 		BufferBytes:        int64(bufferMemoryRatio * float64(s.Relay.MemoryMB) * (1 << 20)),
 		Budget:             r.budget,
+		Quarantine:         r.quarantiner,
 		Centre:             s.Centre,
 		MaxConfirmationAge: func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
 		Starting:           r.starting, RemoteLoadsKnown: r.smallFleet, Nodes: r.countNodes, CentreNodes: r.countCentreNodes, OtherTokens: r.broadcaster.PeerLoad, ReportedTokens: r.broadcaster.ReportedTokens,
@@ -248,7 +262,7 @@
 		"node",
 		grouper.Group("edge", r.serverSteps()...),
 		grouper.Group("flow", r.forwarder.Step()),
-		grouper.Group("store", r.syncer.Step(), r.announcer.Step()),
+		grouper.Group("store", r.syncer.Step(), r.announcer.Step(), r.quarantiner.Step()),
 		grouper.Group("settings", r.reloader.Step(),
 			summarizer.Step(summarizer.Config{Latencies: r.cfg.Latencies, Recorder: r.recorder})),
 		grouper.Group("members", r.linker.Step(), r.tracker.Step(), r.broadcaster.Step()),
@@ -367,13 +381,21 @@
 	return slices.Contains(r.leadOrder(leadCandidates), r.cfg.Settings.Address)
 }
 
+// writesQuarantine reports whether this node writes the record of a part in quarantine.
+func (r *relayNode) writesQuarantine(key string) bool {
+	return slices.Contains(r.firstNodes("quarantine "+key, quarantineWriters), r.cfg.Settings.Address)
+}
+
 // leadOrder returns the first n nodes in the order in which they take the lead.
-func (r *relayNode) leadOrder(n int) []string {
+func (r *relayNode) leadOrder(n int) []string { return r.firstNodes("lead", n) }
+
+// firstNodes returns the first n live nodes in the order for a subject.
+func (r *relayNode) firstNodes(subject string, n int) []string {
 	var live []string
 	for _, node := range r.tracker.Nodes() {
 		if node.Live() && !node.Suspect {
 			live = append(live, node.Address)
 		}
 	}
-	return ranker.Of("lead").Top(live, n)
+	return ranker.Of(subject).Top(live, n)
 }
--- a/internal/supervisor/syncer/readers_test.go
+++ b/internal/supervisor/syncer/readers_test.go
@@ -46,7 +46,7 @@
 		st.mu.Lock()
 		calls := st.calls
 		st.mu.Unlock()
-		one := int(10*time.Second/configurationWait + 10*time.Second/pollInterval)
+		one := int(10*time.Second/configurationWait + 10*time.Second/pollInterval + 10*time.Second/quarantineWait)
 		if got, want := calls, one+2; got > want {
 			t.Errorf("calls to the store in 10 s: got %d, want at most %d, those of one node", got, want)
 		}
@@ -204,7 +204,9 @@
 		if !s.Ready() {
 			t.Errorf("node is not ready after a second")
 		}
-		if got, want := st.calls, 2; got != want {
+		st.mu.Lock()
+		defer st.mu.Unlock()
+		if got, want := st.calls, 3; got != want {
 			t.Errorf("calls to the store: got %d, want %d, one a topic", got, want)
 		}
 	})
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -48,6 +48,9 @@
 	maxBackoff          = 700 * time.Millisecond
 	nonReaderMinBackoff = 1500 * time.Millisecond
 	nonReaderMaxBackoff = 5 * time.Second
+	// quarantineWait bounds the wait of a read of the quarantine for new records. Nodes
+	// tell each other of these, too.
+	quarantineWait = 10 * time.Second
 	// directReadDelay is how far the data of a node that usually queries readers may
 	// exceed its age threshold before the node reads the store itself; other nodes
 	// are queried meanwhile.
@@ -62,7 +65,11 @@
 	ConfigKey   string
 	// EndpointTopic holds one record per endpoint.
 	EndpointTopic string
-	// DecodeConfiguration and DecodeEntry decode the records of these topics.
+	// QuarantineTopic holds one record per part of a prompt in quarantine, and
+	// HandleQuarantine takes its records.
+	QuarantineTopic  string
+	HandleQuarantine func(items []provider.Item)
+	// DecodeConfiguration and DecodeEntry decode the records of the first two topics.
 	DecodeConfiguration func(data []byte) (*mapper.Configuration, error)
 	DecodeEntry         func(id string, data []byte) (registrar.Entry, error)
 	// Starting reports whether this node may not know the other nodes yet. While it
@@ -137,6 +144,7 @@
 	return grouper.Group("store",
 		grouper.Step{Name: "configuration", Run: s.followConfiguration},
 		grouper.Step{Name: "endpoints", Run: s.followEndpoints},
+		grouper.Step{Name: "quarantine", Run: s.followQuarantine},
 		grouper.Step{Name: "peers", Run: s.followPeers},
 	)
 }
@@ -189,11 +197,8 @@
 	// reads.
 	wait     time.Duration
 	interval time.Duration
-	// asOf returns the time as of which the topic's data is known. A node that
-	// usually queries readers reads the topic once the data is older than
-	// ageThreshold by directReadDelay.
-	asOf         func() time.Time
-	ageThreshold time.Duration
+	// due reports whether this node reads the topic now.
+	due func() bool
 	// apply merges the records of a read that was sent at sentAt: the newest record
 	// of each key if full is set, otherwise the records since the last read. Entries
 	// that vanish are kept until keepUntil.
@@ -207,7 +212,7 @@
 	initialised := false
 	var from provider.Offset
 	for ctx.Err() == nil {
-		if !s.shouldRead(f.asOf(), f.ageThreshold) {
+		if !f.due() {
 			initialised = false
 			grouper.Sleep(ctx, roleCheckInterval)
 			continue
@@ -251,7 +256,7 @@
 func (s *Syncer) followConfiguration(ctx context.Context) error {
 	return s.follow(ctx, feed{
 		name: "configuration", topic: s.cfg.ConfigTopic, wait: configurationWait,
-		asOf: func() time.Time { return s.View().Confirmed }, ageThreshold: configurationAgeThreshold,
+		due:   func() bool { return s.shouldRead(s.View().Confirmed, configurationAgeThreshold) },
 		apply: func(items provider.Items, _ bool, sentAt, _ time.Time) { s.applyConfiguration(items, sentAt) },
 	})
 }
@@ -260,7 +265,27 @@
 func (s *Syncer) followEndpoints(ctx context.Context) error {
 	return s.follow(ctx, feed{
 		name: "endpoints", topic: s.cfg.EndpointTopic, interval: pollInterval,
-		asOf: s.tableTime, ageThreshold: tableAgeThreshold, apply: s.applyEndpoints,
+		due: func() bool { return s.shouldRead(s.tableTime(), tableAgeThreshold) }, apply: s.applyEndpoints,
+	})
+}
+
+// followQuarantine reads the quarantine once, and follows it while this node reads the
+// store for others or knows no other node that could tell it of new records. It makes no
+// calls while those for the configuration fail.
+func (s *Syncer) followQuarantine(ctx context.Context) error {
+	read := false
+	return s.follow(ctx, feed{
+		name: "quarantine", topic: s.cfg.QuarantineTopic, wait: quarantineWait,
+		due: func() bool {
+			if confirmed := s.View().Confirmed; !confirmed.IsZero() && s.cfg.Now().Sub(confirmed) > configurationAgeThreshold {
+				return false
+			}
+			return !read || !s.cfg.Starting() && (s.cfg.IsReader() || len(s.cfg.Peers()) == 0)
+		},
+		apply: func(items provider.Items, _ bool, _, _ time.Time) {
+			s.cfg.HandleQuarantine(items.Items)
+			read = true
+		},
 	})
 }
 
--- a/internal/supervisor/syncer/syncer_test.go
+++ b/internal/supervisor/syncer/syncer_test.go
@@ -23,7 +23,9 @@
 const (
 	configTopic   = "config"
 	endpointTopic = "endpoints"
-	configKey     = "c"
+
+	quarantineTopic = "quarantine"
+	configKey       = "c"
 )
 
 // store is a store in memory that can be made unavailable.
@@ -133,6 +135,7 @@
 func newSyncer(s *store, peers map[string]*Syncer) *Syncer {
 	return New(Config{
 		Topics: s.Topics(), ConfigTopic: configTopic, ConfigKey: configKey, EndpointTopic: endpointTopic,
+		QuarantineTopic: quarantineTopic, HandleQuarantine: func([]provider.Item) {},
 		DecodeConfiguration: func(data []byte) (*mapper.Configuration, error) {
 			version, err := strconv.ParseInt(string(data), 10, 64)
 			return mapper.New(mapper.Draft{Version: version}), err
