Keep to the limits that endpoints name, all nodes together

An endpoint in need names in its answers how many requests a second it takes from all nodes.

Class: a limit that holds for the fleet and is known, if at all, to each node alone. Weighed and worked out, not played: equal parts for all nodes leave most of the limit unused, as nodes send to engines of their own data centre, and at 195 nodes one request saved up at each is more than it allows.

Change: one node an endpoint gives out permits at 0.95 of the limit; the others ask it before they send, and learn with that whether the limit still stands. Without an answer they keep to their part. Requests that no endpoint takes within 100 ms are refused with 5009 and the time until one does.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -11,12 +11,14 @@
 type Set struct {
 	// Refusals counts refusals by the name of their code.
 	Refusals *expvar.Map `expvar:"banyanquay.refusals"`
-	// Retries counts retries by reason.
+	// Retries counts retries by reason, and requests that an endpoint's limit kept from it
+	// (limit_reached).
 	Retries *expvar.Map `expvar:"banyanquay.retries"`
 	// Stages counts replaced stages by how their KV caches were rebuilt, and failed
 	// cache imports by what failed. With relay.enabled it counts stalls, changed paths,
 	// endpoints that became suspect (doubts) by reason, parts of prompts that were
-	// quarantined and released (parts_held, parts_released), and checks for stalls that came
+	// quarantined and released (parts_held, parts_released), endpoints that named and ended
+	// a limit (limits_named, limits_ended), and checks for stalls that came
 	// late because this process was paused (late_ticks).
 	Stages *expvar.Map `expvar:"banyanquay.stages"`
 	// Requests counts requests by outcome.
--- a/internal/driver/relay.go
+++ b/internal/driver/relay.go
@@ -58,6 +58,10 @@
 	Signed bool
 	// Version is the version of the weights; empty if the response names none.
 	Version string
+	// Limit is the number of requests a second that the endpoint takes from all nodes
+	// together, and HasLimit is set if the response names one.
+	Limit    float64
+	HasLimit bool
 }
 
 // Report is an engine's report of its own state; it is a few hundred ms old.
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -71,6 +71,8 @@
 	{EndpointSlow, "An engine reports that it is slower than usual; paths avoid it where possible.", "Check the engine if it stays slow."},
 	{PartHeld, "Engines crashed under requests with this part in their prompts; requests with it are refused for a while (5008). With the field full the part is not refused, since too many are.", "Find out who sends the part, and why engines crash on it."},
 	{PartReleased, "A part in quarantine turned out not to be the cause: another part explains the crashes, or an answer was written with it.", "Nothing."},
+	{LimitNamed, "An endpoint names in its answers how many requests a second it takes; all nodes together keep to that.", "Check the endpoint: it asks for less work."},
+	{LimitEnded, "An endpoint that named a limit answers without one.", "Nothing."},
 	{LeaseTaken, "This node now holds the lease and sends the orders to endpoints.", "Nothing."},
 	{LeaseLost, "Another node sends the orders now.", "Nothing; check this node if it happens often."},
 	{LoadBegun, "An endpoint was chosen to load layers or adapters.", "Nothing."},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -86,6 +86,8 @@
 	EndpointSlow                         // endpoint slow
 	PartHeld                             // part of prompts quarantined
 	PartReleased                         // part of prompts released
+	LimitNamed                           // endpoint names a limit
+	LimitEnded                           // endpoint names no limit any more
 )
 
 // Events of the placement.
--- a/internal/refuser/code.go
+++ b/internal/refuser/code.go
@@ -85,6 +85,7 @@
 	StreamBroken                       // stream_broken
 	AnswerOutdated                     // answer_outdated
 	PartQuarantined                    // part_quarantined
+	EndpointLimit                      // endpoint_limit
 )
 
 // Codes of configuration.
@@ -174,6 +175,7 @@
 	{StreamBroken, http.StatusBadGateway, true, "The stream ended without its end marker.", "Resume after the last token received."},
 	{AnswerOutdated, http.StatusConflict, false, "The model, version or adapter that generated the received tokens is no longer served.", "Send the request again without received."},
 	{PartQuarantined, http.StatusServiceUnavailable, true, "Engines crashed under requests with a part of this prompt.", "Leave the part out, or retry after the time in Retry-After."},
+	{EndpointLimit, http.StatusServiceUnavailable, true, "The endpoints that could serve the request take no more requests now.", "Retry after the time in Retry-After."},
 	{Conflict, http.StatusPreconditionFailed, true, "Another change of the organisation was accepted first.", "Read the current revision and apply the change to it."},
 	{LogUnavailable, http.StatusServiceUnavailable, true, "The platform's log is unreachable.", "Retry after the time in Retry-After."},
 	{NotCaughtUp, http.StatusServiceUnavailable, true, "The node does not yet know the configuration and the endpoints.", "Try another address."},
--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -124,10 +124,12 @@
 	}
 	next := newEndpointIndex(table, cfg)
 	f.current.Store(next)
-	f.assessor.Retain(func(id string) bool {
+	listed := func(id string) bool {
 		_, ok := table.Get(id)
 		return ok
-	})
+	}
+	f.assessor.Retain(listed)
+	f.cfg.Throttler.Retain(listed)
 	known := make(map[string]bool, table.Len())
 	for _, e := range table.All() {
 		known[e.Address], known[e.ID] = true, true
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"banyanquay/internal/supervisor/forwarder/assessor"
 	"banyanquay/internal/supervisor/forwarder/budgeter"
 	"banyanquay/internal/supervisor/forwarder/pathfinder"
+	"banyanquay/internal/supervisor/forwarder/throttler"
 	"banyanquay/internal/supervisor/listener"
 	"banyanquay/internal/supervisor/quarantiner"
 )
@@ -59,6 +60,9 @@
 	// Quarantine knows the parts of prompts under which engines crash; nil means one that
 	// learns from this node alone.
 	Quarantine *quarantiner.Quarantiner
+	// Throttler keeps to the limits that endpoints name; nil means one for this node
+	// alone.
+	Throttler *throttler.Throttler
 	// Centre is this node's data centre.
 	Centre string
 	// MaxConfirmationAge returns the maximum age of the configuration's confirmation
@@ -110,6 +114,11 @@
 	if cfg.BufferBytes <= 0 {
 		cfg.BufferBytes = defaultBufferBytes
 	}
+	if cfg.Throttler == nil {
+		cfg.Throttler = throttler.New(throttler.Config{
+			Home: func(string) string { return "" }, Nodes: cfg.Nodes, Now: cfg.Now, Recorder: cfg.Recorder, Counters: cfg.Counters,
+		})
+	}
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = quarantiner.New(quarantiner.Config{Now: cfg.Now, Recorder: cfg.Recorder, Counters: cfg.Counters})
 	}
@@ -166,6 +175,9 @@
 	lastEventID string
 	// tried holds the IDs of the endpoints that are not tried again.
 	tried map[string]bool
+	// limited holds the IDs of the endpoints that took no more requests when an endpoint
+	// was last chosen.
+	limited map[string]bool
 	// sends counts the sends of the request, and runs those that an endpoint has or
 	// may have started to run.
 	sends int
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -72,7 +72,7 @@
 			f.failGeneration(c, s, f.generationRefusal(c, refuser.New(refuser.RetryBudgetSpent, "the retry budget is spent").WithWait(budgetRetryDelay()), lastErr))
 			return
 		}
-		path, err := f.path(c, s.version)
+		path, err := f.permittedPath(c, s.version)
 		if err != nil {
 			f.failGeneration(c, s, f.generationRefusal(c, err, lastErr))
 			return
@@ -201,6 +201,7 @@
 		return false, err
 	}
 	defer reply.Body.Close()
+	f.learnLimit(path[0].ID, reply, began)
 	if reply.NotRun {
 		return false, f.attemptRefused(c, s, reply, began)
 	}
--- /dev/null
+++ b/internal/supervisor/forwarder/limit.go
@@ -0,0 +1,126 @@
+package forwarder
+
+import (
+	"maps"
+	"net/http"
+	"time"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/grouper"
+	"banyanquay/internal/refuser"
+	"banyanquay/internal/registrar"
+	"banyanquay/internal/supervisor/forwarder/pathfinder"
+)
+
+// maxLimitWait is how long a new request waits for an endpoint that takes it soon. It
+// leaves most of the time in which callers want the first byte.
+const maxLimitWait = 100 * time.Millisecond
+
+// learnLimit records whether an endpoint named a limit in its reply to a request that
+// was sent at sentAt.
+func (f *Forwarder) learnLimit(endpoint string, reply driver.Reply, sentAt time.Time) {
+	if reply.Status == http.StatusMisdirectedRequest {
+		return // another endpoint answers there
+	}
+	f.cfg.Throttler.Learn(endpoint, reply.Limit, reply.HasLimit, sentAt)
+}
+
+// limitReached reports whether an endpoint takes no request of this node now.
+func (f *Forwarder) limitReached(endpoint string) bool {
+	_, denied := f.cfg.Throttler.Denied(endpoint)
+	return denied
+}
+
+// limitExcludes reports whether a path must not use an engine since it would begin there,
+// and the engine takes no request now.
+func (f *Forwarder) limitExcludes(criteria pathCriteria, h holder) bool {
+	return criteria.head == nil && h.entry.First == 0 && f.limitReached(h.entry.ID)
+}
+
+// limitWait returns how long it is until one of the endpoints that have reached their
+// limit may take the request, and whether there is such an endpoint.
+func (f *Forwarder) limitWait(c *call) (time.Duration, bool) {
+	members, ok := f.members(c.service)
+	if !ok {
+		return 0, false
+	}
+	shortest, found := time.Duration(0), false
+	for _, e := range members.entries {
+		if c.tried[e.ID] || (members.layered() && (!e.Holds() || e.First > 0)) {
+			continue
+		}
+		if wait, denied := f.cfg.Throttler.Denied(e.ID); denied && (!found || wait < shortest) {
+			shortest, found = wait, true
+		}
+	}
+	return shortest, found
+}
+
+// endpointLimit returns the refusal of a request that no endpoint takes for a while.
+func endpointLimit(service string, wait time.Duration) refuser.Refusal {
+	return refuser.New(refuser.EndpointLimit, "the endpoints of service %s have reached their limits", service).WithWait(wait + budgetRetryDelay())
+}
+
+// excluded returns the IDs of the endpoints that the request's next path must not use.
+func (c *call) excluded() map[string]bool {
+	if len(c.limited) == 0 {
+		return c.tried
+	}
+	all := maps.Clone(c.tried)
+	maps.Copy(all, c.limited)
+	return all
+}
+
+// permittedPath returns the path of a request's next attempt, once its first engine
+// takes the request. A stream whose caller has events waits for that longer.
+func (f *Forwarder) permittedPath(c *call, version string) ([]pathfinder.Stage, error) {
+	var path []pathfinder.Stage
+	var err error
+	f.awaitPermit(c, func() (string, bool) {
+		if path, err = f.path(c, version); err != nil {
+			return "", false
+		}
+		return path[0].ID, true
+	})
+	if err != nil {
+		if wait, limited := f.limitWait(c); limited {
+			return nil, endpointLimit(c.service, wait)
+		}
+	}
+	return path, err
+}
+
+// permittedEndpoint returns the endpoint of a plain service for a request's next attempt,
+// and whether there is one that takes it.
+func (f *Forwarder) permittedEndpoint(c *call) (e registrar.Entry, ok bool) {
+	f.awaitPermit(c, func() (string, bool) {
+		e, ok = f.chooseEndpoint(c)
+		return e.ID, ok
+	})
+	return e, ok
+}
+
+// awaitPermit chooses endpoints until one takes the request, or there is none left and
+// none will take it soon.
+func (f *Forwarder) awaitPermit(c *call, choose func() (id string, ok bool)) {
+	deadline := f.cfg.Now().Add(maxLimitWait)
+	if c.begun() {
+		deadline = f.cfg.Now().Add(budgetTimeout)
+	}
+	c.limited = make(map[string]bool)
+	for {
+		id, ok := choose()
+		if ok {
+			if f.cfg.Throttler.Acquire(c.r.Context(), id) {
+				return
+			}
+			c.limited[id] = true
+			continue
+		}
+		wait, limited := f.limitWait(c)
+		if !limited || f.cfg.Now().Add(wait).After(deadline) || !grouper.Sleep(c.r.Context(), wait) {
+			return
+		}
+		clear(c.limited)
+	}
+}
--- a/internal/supervisor/forwarder/path.go
+++ b/internal/supervisor/forwarder/path.go
@@ -96,7 +96,7 @@
 	similar := f.similarNodes()
 	assumed := f.assumedRemoteLoad(criteria.members)
 	for _, h := range criteria.members.holders {
-		if h.entry.Version != criteria.version || criteria.exclude[h.entry.ID] {
+		if h.entry.Version != criteria.version || criteria.exclude[h.entry.ID] || f.limitExcludes(criteria, h) {
 			continue
 		}
 		rec := f.assessor.Record(h.entry.ID)
@@ -277,7 +277,7 @@
 	if version == "" {
 		version = members.versions[0]
 	}
-	criteria := pathCriteria{members: members, version: version, neededTokens: c.neededTokens, exclude: c.tried, avoidSuspects: true, restarting: c.answered}
+	criteria := pathCriteria{members: members, version: version, neededTokens: c.neededTokens, exclude: c.excluded(), avoidSuspects: true, restarting: c.answered}
 	if path, ok := f.findPath(criteria); ok {
 		return path, nil
 	}
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -73,7 +73,7 @@
 	var last, kept outcome
 	var lastEndpoint, keptEndpoint registrar.Entry
 	for {
-		e, ok := f.chooseEndpoint(c)
+		e, ok := f.permittedEndpoint(c)
 		if !ok {
 			break
 		}
@@ -126,7 +126,7 @@
 		return best, false
 	}
 	for _, e := range members.entries {
-		if c.tried[e.ID] {
+		if c.tried[e.ID] || c.limited[e.ID] || f.limitReached(e.ID) {
 			continue
 		}
 		cost := f.cost(e)
@@ -205,12 +205,14 @@
 
 // exchange sends the request and reads the complete answer.
 func (f *Forwarder) exchange(ctx context.Context, c *call, e registrar.Entry) outcome {
+	began := f.cfg.Now()
 	reply, err := f.cfg.Relay.Send(ctx, e.Address, f.forward(c, e.ID))
 	if err != nil {
 		var unsent *driver.Unsent
 		return outcome{err: err, notRun: errors.As(err, &unsent)}
 	}
 	defer reply.Body.Close()
+	f.learnLimit(e.ID, reply, began)
 	body, release, err := f.buffers.ReadAll(reply.Body, maxAnswerBytes)
 	c.releases = append(c.releases, release)
 	return outcome{reply: reply, body: body, err: err, notRun: reply.NotRun}
@@ -251,6 +253,9 @@
 // plainRefusal returns the refusal of a request without a deliverable answer. It
 // also states whether the request ran.
 func (f *Forwarder) plainRefusal(c *call, o outcome) refuser.Refusal {
+	if wait, limited := f.limitWait(c); limited && c.runs == 0 {
+		return endpointLimit(c.service, wait)
+	}
 	if c.runs == 0 {
 		return refuser.New(refuser.NoEndpoint, "no endpoint of service %s accepted the request: %v", c.service, o.err).WithWait(retryDelay)
 	}
--- a/internal/supervisor/linker/linker.go
+++ b/internal/supervisor/linker/linker.go
@@ -50,6 +50,7 @@
 	Ledger
 	Store
 	Lead
+	Permits
 )
 
 // Linker holds the links of one node.
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -32,6 +32,7 @@
 	"banyanquay/internal/supervisor/elector"
 	"banyanquay/internal/supervisor/forwarder"
 	"banyanquay/internal/supervisor/forwarder/budgeter"
+	"banyanquay/internal/supervisor/forwarder/throttler"
 	"banyanquay/internal/supervisor/linker"
 	"banyanquay/internal/supervisor/listener"
 	"banyanquay/internal/supervisor/quarantiner"
@@ -134,6 +135,7 @@
 	elector     *elector.Elector
 	arranger    *arranger.Arranger
 	quarantiner *quarantiner.Quarantiner
+	throttler   *throttler.Throttler
 	forwarder   *forwarder.Forwarder
 	reloader    *reloader.Reloader
 }
@@ -200,6 +202,13 @@
 		OnHold: func() { r.forwarder.EndQuarantined() },
 		Now:    r.clock.Now, Recorder: r.recorder, Counters: cfg.Counters,
 	})
+	r.throttler = throttler.New(throttler.Config{
+		Home: r.permitHome, Nodes: r.countNodes, Now: r.clock.Now, Recorder: r.recorder, Counters: cfg.Counters,
+		Query: func(ctx context.Context, address string, query []byte) ([]byte, error) {
+			return r.linker.Query(ctx, address, linker.Permits, query)
+		},
+	})
+	r.linker.Handle(linker.Permits, r.throttler.HandleQuery)
 	r.budget = budgeter.New(budgeter.Config{
 		Window: s.Relay.RetryWindow.Duration, Others: r.broadcaster.PeerSpent, Now: r.clock.Now,
 		Nodes: r.countNodes,
@@ -213,6 +222,7 @@
 		BufferBytes:        int64(bufferMemoryRatio * float64(s.Relay.MemoryMB) * (1 << 20)),
 		Budget:             r.budget,
 		Quarantine:         r.quarantiner,
+		Throttler:          r.throttler,
 		Centre:             s.Centre,
 		MaxConfirmationAge: func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
 		Starting:           r.starting, RemoteLoadsKnown: r.smallFleet, Nodes: r.countNodes, CentreNodes: r.countCentreNodes, OtherTokens: r.broadcaster.PeerLoad, ReportedTokens: r.broadcaster.ReportedTokens,
@@ -386,6 +396,16 @@
 	return slices.Contains(r.firstNodes("quarantine "+key, quarantineWriters), r.cfg.Settings.Address)
 }
 
+// permitHome returns the address of the node that gives out the permits for an endpoint;
+// empty if it is this one.
+func (r *relayNode) permitHome(endpoint string) string {
+	home := r.firstNodes("limit "+endpoint, 1)
+	if len(home) == 0 || home[0] == r.cfg.Settings.Address {
+		return ""
+	}
+	return home[0]
+}
+
 // leadOrder returns the first n nodes in the order in which they take the lead.
 func (r *relayNode) leadOrder(n int) []string { return r.firstNodes("lead", n) }
 
