Send nothing to endpoints that ask for a rest

A server that turns a request away with 503 may say for how long it wants nothing from this node. Nothing read that: the endpoint became suspect, and suspects are used where no others are left.

Requests that none takes are refused with 5009 and the time until one does.

--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -201,7 +201,7 @@
 		return false, err
 	}
 	defer reply.Body.Close()
-	f.learnLimit(path[0].ID, reply, began)
+	f.learnLimits(path[0].ID, reply, began)
 	if reply.NotRun {
 		return false, f.attemptRefused(c, s, reply, began)
 	}
--- a/internal/supervisor/forwarder/limit.go
+++ b/internal/supervisor/forwarder/limit.go
@@ -16,13 +16,16 @@
 // leaves most of the time in which callers want the first byte.
 const maxLimitWait = 100 * time.Millisecond
 
-// learnLimit records whether an endpoint named a limit in its reply to a request that
-// was sent at sentAt.
-func (f *Forwarder) learnLimit(endpoint string, reply driver.Reply, sentAt time.Time) {
+// learnLimits records what an endpoint said, in its reply to a request that was sent at
+// sentAt, of the requests that it takes.
+func (f *Forwarder) learnLimits(endpoint string, reply driver.Reply, sentAt time.Time) {
 	if reply.Status == http.StatusMisdirectedRequest {
 		return // another endpoint answers there
 	}
 	f.cfg.Throttler.Learn(endpoint, reply.Limit, reply.HasLimit, sentAt)
+	if reply.Rest > 0 {
+		f.cfg.Throttler.Rest(endpoint, reply.Rest)
+	}
 }
 
 // limitReached reports whether an endpoint takes no request of this node now.
--- a/internal/supervisor/forwarder/throttler/throttler.go
+++ b/internal/supervisor/forwarder/throttler/throttler.go
@@ -1,5 +1,6 @@
-// Package throttler keeps the requests that all nodes together send to an endpoint
-// within the limit that the endpoint names in its answers. For each limited endpoint one
+// Package throttler knows what an endpoint has said it may be sent. It keeps the requests
+// that all nodes together send to an endpoint within the limit that the endpoint names in
+// its answers, and sends none to one that wants none from this node for a while. For each limited endpoint one
 // node, its home, gives out permits at the limit's rate, and the others ask it for one
 // before they send. With that they learn whether the endpoint still names the limit: in a
 // large fleet each node has an answer of its own only now and then. A node that can't
@@ -8,6 +9,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"sync"
 	"time"
@@ -64,7 +66,9 @@
 	mu sync.Mutex
 	// limits holds the endpoints that name a limit, and buckets those of which this node
 	// is the home.
-	limits  map[string]*limit
+	limits map[string]*limit
+	// rests holds until when endpoints want no request from this node.
+	rests   map[string]time.Time
 	buckets map[string]*homeBucket
 }
 
@@ -88,7 +92,7 @@
 
 // New returns a Throttler without limits.
 func New(cfg Config) *Throttler {
-	return &Throttler{cfg: cfg, limits: make(map[string]*limit), buckets: make(map[string]*homeBucket)}
+	return &Throttler{cfg: cfg, limits: make(map[string]*limit), rests: make(map[string]time.Time), buckets: make(map[string]*homeBucket)}
 }
 
 // Learn records the limit that an endpoint named in an answer, in requests a second;
@@ -115,6 +119,28 @@
 	l.perSecond, l.namedAt = perSecond, now
 }
 
+// Rest records that an endpoint turned a request away and wants none from this node for a
+// while. It does not shorten an earlier rest.
+func (t *Throttler) Rest(endpoint string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.cfg.Now()
+	until := now.Add(d)
+	if old, ok := t.rests[endpoint]; ok && !until.After(old) {
+		return
+	}
+	if !t.resting(endpoint, now) {
+		t.cfg.Counters.Stages.Add("rests", 1)
+		t.cfg.Recorder.Info(recorder.EndpointResting, zap.String("endpoint", endpoint), zap.Duration("for", d))
+	}
+	t.rests[endpoint] = until
+}
+
+// resting reports whether an endpoint wants no request now. The caller must hold mu.
+func (t *Throttler) resting(endpoint string, now time.Time) bool {
+	return now.Before(t.rests[endpoint])
+}
+
 // end drops a limit. The caller must hold mu.
 func (t *Throttler) end(endpoint string, l *limit) {
 	delete(t.limits, endpoint)
@@ -142,11 +168,15 @@
 func (t *Throttler) Denied(endpoint string) (wait time.Duration, denied bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	now := t.cfg.Now()
+	if t.resting(endpoint, now) {
+		return t.rests[endpoint].Sub(now), true
+	}
 	l := t.current(endpoint)
 	if l == nil || l.permits > 0 {
 		return 0, false
 	}
-	wait = l.deniedUntil.Sub(t.cfg.Now())
+	wait = l.deniedUntil.Sub(now)
 	return wait, wait > 0
 }
 
@@ -165,6 +195,10 @@
 func (t *Throttler) Acquire(ctx context.Context, endpoint string) bool {
 	t.mu.Lock()
 	l := t.current(endpoint)
+	if t.resting(endpoint, t.cfg.Now()) {
+		t.mu.Unlock()
+		return t.denied()
+	}
 	if l == nil {
 		t.mu.Unlock()
 		return true
@@ -358,7 +392,7 @@
 	}
 }
 
-// Retain drops the limits of endpoints that are not known any more.
+// Retain drops the limits and rests of endpoints that are not known any more.
 func (t *Throttler) Retain(known func(id string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -367,6 +401,7 @@
 			delete(t.limits, id)
 		}
 	}
+	maps.DeleteFunc(t.rests, func(id string, _ time.Time) bool { return !known(id) })
 }
 
 // bucket is a token bucket whose rate is given with each use.
