Leave endpoints that say in an answer that they leave

A server that leaves says so in all its answers, at times before its record in the store does or without that. Nothing read it: until the record came it got requests as before.

The start of the endpoint is marked as leaving in the table, where leaving stays set for the rest of a start, so that drains and moves of streams follow without further code; other nodes are told over the links and relay it once.

--- a/internal/driver/relay.go
+++ b/internal/driver/relay.go
@@ -65,6 +65,8 @@
 	// Rest is how long the endpoint wants no request from this node, if it turned the
 	// request away; 0 if it doesn't say.
 	Rest time.Duration
+	// Leaving is set if the response says that the endpoint leaves.
+	Leaving bool
 }
 
 // Report is an engine's report of its own state; it is a few hundred ms old.
--- a/internal/supervisor/broadcaster/broadcaster.go
+++ b/internal/supervisor/broadcaster/broadcaster.go
@@ -53,6 +53,16 @@
 	Slow []Slow `cbor:"4,keyasint,omitempty"`
 	// Spent is what the sender has sent to services in the last window.
 	Spent []Spent `cbor:"5,keyasint,omitempty"`
+	// Leaving are endpoints that said to the sender, or to a node that told it, that they
+	// leave.
+	Leaving []Leaving `cbor:"7,keyasint,omitempty"`
+}
+
+// Leaving is one start of an endpoint that leaves.
+type Leaving struct {
+	_    struct{} `cbor:",toarray"`
+	ID   string
+	Born int64
 }
 
 // Spent is what one node has sent to a service in the last window.
@@ -91,7 +101,10 @@
 	// HandleUnreachable takes an endpoint that another node found unreachable. It
 	// must not block.
 	HandleUnreachable func(endpoint string)
-	Now               func() time.Time
+	// HandleLeaving takes a start of an endpoint that leaves, as another node says, and
+	// reports whether this node did not know that; it is then relayed. It must not block.
+	HandleLeaving func(endpoint string, born int64) bool
+	Now           func() time.Time
 }
 
 // peer is the state received over one link, and what is to be sent over it.
@@ -101,10 +114,11 @@
 	loads        map[uint32]int
 	spent        map[uint32]budgeter.Usage
 	lastReceived time.Time
-	// lastSent is when this node's state was last sent to the peer, and unreachable
-	// holds the endpoints that are still to be reported to it.
+	// lastSent is when this node's state was last sent to the peer, and unreachable and
+	// leaving hold the endpoints that are still to be reported to it.
 	lastSent    time.Time
 	unreachable []string
+	leaving     []Leaving
 }
 
 // setState replaces the peer's state by that of a message.
@@ -229,6 +243,18 @@
 	t.cfg.Links.ScheduleFlush()
 }
 
+// BroadcastLeaving reports to the other nodes a start of an endpoint that leaves.
+func (t *Broadcaster) BroadcastLeaving(id string, born int64) {
+	t.mu.Lock()
+	for _, p := range t.peers {
+		if len(p.leaving) < maxLoads {
+			p.leaving = append(p.leaving, Leaving{ID: id, Born: born})
+		}
+	}
+	t.mu.Unlock()
+	t.cfg.Links.ScheduleFlush()
+}
+
 func (t *Broadcaster) linkUp(link linker.Link) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -252,6 +278,7 @@
 	}
 	var m message
 	m.Unreachable, p.unreachable = p.unreachable, nil
+	m.Leaving, p.leaving = p.leaving, nil
 	if now.Sub(p.lastSent) >= sendInterval {
 		p.lastSent = now
 		m.HasState, m.Slow, m.Spent = true, t.slow(), t.spent()
@@ -259,7 +286,7 @@
 			m.Loads = t.loads()
 		}
 	}
-	if !m.HasState && len(m.Unreachable) == 0 {
+	if !m.HasState && len(m.Unreachable)+len(m.Leaving) == 0 {
 		return nil
 	}
 	body, err := encoder.CBOR(m)
@@ -315,6 +342,11 @@
 	for _, id := range m.Unreachable {
 		t.cfg.HandleUnreachable(id)
 	}
+	for _, l := range m.Leaving {
+		if t.cfg.HandleLeaving(l.ID, l.Born) {
+			t.BroadcastLeaving(l.ID, l.Born)
+		}
+	}
 	for _, s := range m.Slow {
 		t.cfg.HandlePace(s.ID, float64(s.Pace))
 	}
--- a/internal/supervisor/broadcaster/broadcaster_test.go
+++ b/internal/supervisor/broadcaster/broadcaster_test.go
@@ -20,6 +20,7 @@
 	now           time.Time
 	suspected     []string
 	observedPaces map[string]float64
+	leaving       []Leaving
 }
 
 func newNode(name string) *node {
@@ -34,6 +35,12 @@
 		HandleUnreachable: func(id string) {
 			n.suspected = append(n.suspected, id)
 		},
+		HandleLeaving: func(id string, born int64) bool {
+			l := Leaving{ID: id, Born: born}
+			known := slices.Contains(n.leaving, l)
+			n.leaving = append(n.leaving, l)
+			return !known
+		},
 		Now: func() time.Time { return n.now },
 	})
 	return n
@@ -153,6 +160,31 @@
 	}
 }
 
+// What one node hears reaches nodes with which it has no link, and each is told once.
+func TestLeavingEndpointIsRelayed(t *testing.T) {
+	a, b, c := newNode("a"), newNode("b"), newNode("c")
+	ab, bc := link(a, b, "1"), link(b, c, "2")
+	ba := func() {
+		if body := b.flush(linker.Link{ID: "1"}); body != nil {
+			a.receive(linker.Link{ID: "1"}, body)
+		}
+	}
+	ab()
+	bc()
+	want := []Leaving{{ID: "e1", Born: 7}}
+	a.leaving = want // the node that heard it itself
+	a.BroadcastLeaving("e1", 7)
+	for range 3 {
+		ab()
+		bc()
+		ba()
+	}
+	// b gets it back from c, which doesn't know where it came from, and leaves it at that.
+	if !slices.Equal(slices.Compact(slices.Clone(b.leaving)), want) || len(b.leaving) > 2 || !slices.Equal(c.leaving, want) {
+		t.Errorf("got %v and %v, want %v at both", b.leaving, c.leaving, want)
+	}
+}
+
 func TestPacesAndBudgets(t *testing.T) {
 	a, b := newNode("a"), newNode("b")
 	a.paces = map[string]float64{"e1": 12}
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -83,6 +83,9 @@
 	// ReportedTokens returns this node's tokens in progress at an engine as of its
 	// last report. Where loads are pooled, OtherTokens is as old as that report.
 	ReportedTokens func(endpoint string) int
+	// MarkLeaving takes a start of an endpoint that said itself that it leaves; nil means
+	// that nothing is done with that.
+	MarkLeaving func(endpoint string, born int64)
 	// BroadcastUnreachable reports to the other nodes that an engine accepts no
 	// connection.
 	BroadcastUnreachable func(endpoint string)
@@ -114,6 +117,9 @@
 	if cfg.BufferBytes <= 0 {
 		cfg.BufferBytes = defaultBufferBytes
 	}
+	if cfg.MarkLeaving == nil {
+		cfg.MarkLeaving = func(string, int64) {}
+	}
 	if cfg.Throttler == nil {
 		cfg.Throttler = throttler.New(throttler.Config{
 			Home: func(string) string { return "" }, Nodes: cfg.Nodes, Now: cfg.Now, Recorder: cfg.Recorder, Counters: cfg.Counters,
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -195,13 +195,14 @@
 	c.sends++
 	fw := f.forward(c, path[0].ID)
 	fw.Path, fw.Version = toDriverStages(path), s.version
+	first, _ := f.cfg.Endpoints().Get(path[0].ID)
 	reply, err := f.cfg.Relay.Send(ctx, path[0].Address, fw)
 	if err != nil {
 		f.attemptBroken(ctx, c, s, brokenAttempt{err: err, began: began})
 		return false, err
 	}
 	defer reply.Body.Close()
-	f.learnLimits(path[0].ID, reply, began)
+	f.learnLimits(path[0].ID, first.Born, reply, began)
 	if reply.NotRun {
 		return false, f.attemptRefused(c, s, reply, began)
 	}
--- a/internal/supervisor/forwarder/limit.go
+++ b/internal/supervisor/forwarder/limit.go
@@ -17,12 +17,15 @@
 const maxLimitWait = 100 * time.Millisecond
 
 // learnLimits records what an endpoint said, in its reply to a request that was sent at
-// sentAt, of the requests that it takes.
-func (f *Forwarder) learnLimits(endpoint string, reply driver.Reply, sentAt time.Time) {
+// sentAt, of the requests that it takes. born tells its start.
+func (f *Forwarder) learnLimits(endpoint string, born int64, reply driver.Reply, sentAt time.Time) {
 	if reply.Status == http.StatusMisdirectedRequest {
 		return // another endpoint answers there
 	}
 	f.cfg.Throttler.Learn(endpoint, reply.Limit, reply.HasLimit, sentAt)
+	if reply.Leaving {
+		f.cfg.MarkLeaving(endpoint, born)
+	}
 	if reply.Rest > 0 {
 		f.cfg.Throttler.Rest(endpoint, reply.Rest)
 	}
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -212,7 +212,7 @@
 		return outcome{err: err, notRun: errors.As(err, &unsent)}
 	}
 	defer reply.Body.Close()
-	f.learnLimits(e.ID, reply, began)
+	f.learnLimits(e.ID, e.Born, reply, began)
 	body, release, err := f.buffers.ReadAll(reply.Body, maxAnswerBytes)
 	c.releases = append(c.releases, release)
 	return outcome{reply: reply, body: body, err: err, notRun: reply.NotRun}
--- a/internal/supervisor/forwarder/world_test.go
+++ b/internal/supervisor/forwarder/world_test.go
@@ -125,6 +125,14 @@
 		Nodes: func() int { return 1 }, CentreNodes: func() int { return 1 },
 		OtherTokens:    func(string) (int, int) { return 0, 0 },
 		ReportedTokens: func(string) int { return 0 },
+		MarkLeaving: func(id string, born int64) {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if e, ok := w.table.Get(id); ok && e.Born == born {
+				e.Leaving = true
+				w.table = w.table.With(time.Now(), time.Now(), []registrar.Change{{ID: id, Entry: &e}})
+			}
+		},
 		BroadcastUnreachable: func(id string) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -193,22 +193,12 @@
 		Loads:             func() map[string]int { return r.forwarder.Loads() },
 		SmallFleet:        r.smallFleet,
 		HandleUnreachable: func(id string) { r.forwarder.HandleUnreachable(id) },
+		HandleLeaving:     r.syncer.MarkLeaving,
 		Spent:             func() map[string]budgeter.Usage { return r.budget.Usage() },
 		Paces:             func() map[string]float64 { return r.forwarder.Paces() },
 		HandlePace:        func(id string, pace float64) { r.forwarder.SetPace(id, pace) },
 	})
-	r.quarantiner = quarantiner.New(quarantiner.Config{
-		Links: r.linker, Topics: p.Topics, Topic: p.QuarantineTopic, IsWriter: r.writesQuarantine,
-		OnHold: func() { r.forwarder.EndQuarantined() },
-		Now:    r.clock.Now, Recorder: r.recorder, Counters: cfg.Counters,
-	})
-	r.throttler = throttler.New(throttler.Config{
-		Home: r.permitHome, Nodes: r.countNodes, Now: r.clock.Now, Recorder: r.recorder, Counters: cfg.Counters,
-		Query: func(ctx context.Context, address string, query []byte) ([]byte, error) {
-			return r.linker.Query(ctx, address, linker.Permits, query)
-		},
-	})
-	r.linker.Handle(linker.Permits, r.throttler.HandleQuery)
+	r.composeProtection()
 	r.budget = budgeter.New(budgeter.Config{
 		Window: s.Relay.RetryWindow.Duration, Others: r.broadcaster.PeerSpent, Now: r.clock.Now,
 		Nodes: r.countNodes,
@@ -226,6 +216,11 @@
 		Centre:             s.Centre,
 		MaxConfirmationAge: func() time.Duration { return r.reloader.Settings().Relay.Revoke.Duration - revokeMargin },
 		Starting:           r.starting, RemoteLoadsKnown: r.smallFleet, Nodes: r.countNodes, CentreNodes: r.countCentreNodes, OtherTokens: r.broadcaster.PeerLoad, ReportedTokens: r.broadcaster.ReportedTokens,
+		MarkLeaving: func(id string, born int64) {
+			if r.syncer.MarkLeaving(id, born) {
+				r.broadcaster.BroadcastLeaving(id, born)
+			}
+		},
 		BroadcastUnreachable: r.broadcaster.BroadcastUnreachable, Gate: r.gate, Now: r.clock.Now,
 		Recorder: r.recorder, Counters: cfg.Counters, Latency: cfg.Latencies,
 	})
@@ -247,6 +242,24 @@
 	})
 }
 
+// composeProtection creates the parts that keep requests away from endpoints that they
+// would harm.
+func (r *relayNode) composeProtection() {
+	p := r.cfg.Platform
+	r.quarantiner = quarantiner.New(quarantiner.Config{
+		Links: r.linker, Topics: p.Topics, Topic: p.QuarantineTopic, IsWriter: r.writesQuarantine,
+		OnHold: func() { r.forwarder.EndQuarantined() },
+		Now:    r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
+	})
+	r.throttler = throttler.New(throttler.Config{
+		Home: r.permitHome, Nodes: r.countNodes, Now: r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
+		Query: func(ctx context.Context, address string, query []byte) ([]byte, error) {
+			return r.linker.Query(ctx, address, linker.Permits, query)
+		},
+	})
+	r.linker.Handle(linker.Permits, r.throttler.HandleQuery)
+}
+
 // composePlacement creates the parts that assign layers to engines.
 func (r *relayNode) composePlacement() {
 	p := r.cfg.Platform
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -377,6 +377,24 @@
 	s.logChanges(before, &next)
 }
 
+// MarkLeaving records that an endpoint said itself that it leaves, and reports whether
+// that was not known. It concerns that start of the endpoint only.
+func (s *Syncer) MarkLeaving(id string, born int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before := s.Table()
+	e, ok := before.Get(id)
+	if !ok || e.Born != born || e.Leaving {
+		return false
+	}
+	e.Leaving = true
+	now := s.cfg.Now()
+	next := before.With(now, now, []registrar.Change{{ID: id, Entry: &e}})
+	s.replace(&next)
+	s.logChanges(before, &next)
+	return true
+}
+
 // replace puts a table in force and adds the changes to the history. The caller must
 // hold mu.
 func (s *Syncer) replace(next *registrar.Table) {
--- a/internal/supervisor/syncer/syncer_test.go
+++ b/internal/supervisor/syncer/syncer_test.go
@@ -366,6 +366,38 @@
 	})
 }
 
+// An endpoint says itself that it leaves. That stands although the store lists it as up,
+// until it starts again, and reaches the nodes that query this one.
+func TestEndpointThatSaysItLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newStore()
+		st.put(configTopic, configKey, "1")
+		st.put(endpointTopic, "a", "up")
+		peers := map[string]*Syncer{}
+		reader := newSyncer(st, nil)
+		peers["reader"] = reader
+		other := newSyncer(st, peers)
+		other.cfg.IsReader = func() bool { return false }
+		other.cfg.Readers = func() []string { return []string{"reader"} }
+		start(t, reader)
+		start(t, other)
+		time.Sleep(3 * time.Second)
+		if reader.MarkLeaving("a", 1) || reader.MarkLeaving("b", 0) {
+			t.Error("another start, or an endpoint that isn't known, was marked")
+		}
+		if !reader.MarkLeaving("a", 0) || reader.MarkLeaving("a", 0) {
+			t.Error("the endpoint was not marked, or twice")
+		}
+		st.put(endpointTopic, "a", "up")
+		time.Sleep(3 * time.Second)
+		for name, s := range map[string]*Syncer{"reader": reader, "other": other} {
+			if e, ok := s.Table().Get("a"); !ok || !e.Leaving {
+				t.Errorf("%s: got %+v, %v, want an endpoint that leaves", name, e, ok)
+			}
+		}
+	})
+}
+
 // Nodes must back off from a store that is unreachable.
 func TestBackoffDuringOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
