Judge what the store says by its era

The store may come back from a copy that is some seconds old: offsets go back and are given out again, and what was written since is gone. Its answers name an era, which nothing read.

Feeds are read in full after a rise, removed endpoints need a record of the new era, electors read again who leads, announcements younger than two minutes and parts in quarantine are written again, and nodes tell each other the era.

--- a/cmd/banyanquayd/platform.go
+++ b/cmd/banyanquayd/platform.go
@@ -21,6 +21,7 @@
 				c.Fleet.Add("store_calls_failed", 1)
 			}
 		},
+		OnEra: func(_, _ uint64) { c.Fleet.Add("store_eras", 1) },
 	})
 	return supervisor.Platform{
 		Topics: store.Topics(), Relay: platform.NewEndpoints().Relay(),
--- a/cmd/banyanquayd/platform_test.go
+++ b/cmd/banyanquayd/platform_test.go
@@ -66,10 +66,14 @@
 	return s
 }
 
-// startFleet starts a site of three data centres and one node in each.
-func startFleet(t *testing.T) *fleet {
+// startFleet starts a site of three data centres with three engines, and one node in
+// each.
+func startFleet(t *testing.T) *fleet { return startFleetOf(t, 3) }
+
+// startFleetOf is startFleet with another number of engines in each data centre.
+func startFleetOf(t *testing.T, engines int) *fleet {
 	f := &fleet{port: freePort(t)}
-	f.site = imitator.New(imitator.Config{IP: siteIP, Port: f.port + 10, Centres: []string{"a", "b", "c"}, Engines: 3})
+	f.site = imitator.New(imitator.Config{IP: siteIP, Port: f.port + 10, Centres: []string{"a", "b", "c"}, Engines: engines})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -89,6 +89,7 @@
 	LimitNamed                           // endpoint names a limit
 	LimitEnded                           // endpoint names no limit any more
 	EndpointResting                      // endpoint wants no requests for a while
+	StoreRestored                        // platform's store came back from an older copy
 )
 
 // Events of the placement.
--- a/internal/supervisor/announcer/announcer.go
+++ b/internal/supervisor/announcer/announcer.go
@@ -19,6 +19,11 @@
 const (
 	// retryInterval is the time between two attempts to publish the announcement.
 	retryInterval = 700 * time.Millisecond
+	// eraCheckInterval is the time between two checks of the store's era, and maxCopyAge the
+	// age above which an announcement is in any copy from which the store comes back:
+	// these are some seconds old.
+	eraCheckInterval = time.Second
+	maxCopyAge       = 2 * time.Minute
 	// maxListAge is how long a list is served from the cache. A cached list lacks
 	// nodes that start later, but those find this node in their own lists.
 	maxListAge = time.Minute
@@ -98,10 +103,31 @@
 		a.cfg.Recorder.Warn(recorder.StoreUnreachable, zap.String("what", "announcement"), zap.Error(err))
 		grouper.Sleep(ctx, retryInterval)
 	}
-	<-ctx.Done()
+	a.keepAnnounced(ctx, data)
 	return nil
 }
 
+// keepAnnounced publishes the announcement again, until ctx ends, if the store comes back
+// from an older copy that may lack it.
+func (a *Announcer) keepAnnounced(ctx context.Context, data []byte) {
+	era := a.cfg.Topics.CurrentEra()
+	began := a.cfg.Now()
+	for grouper.Sleep(ctx, eraCheckInterval) {
+		current := a.cfg.Topics.CurrentEra()
+		if current == era || a.cfg.Now().Sub(began) > maxCopyAge {
+			era = current
+			continue
+		}
+		if err := a.announce(ctx, data); err != nil {
+			a.cfg.Recorder.Warn(recorder.StoreUnreachable, zap.String("what", "announcement"), zap.Error(err))
+			continue
+		}
+		a.cfg.Recorder.Info(recorder.StoreRestored, zap.String("what", "announcement written again"),
+			zap.Uint64("era", current), zap.Uint64("before", era))
+		era, began = current, a.cfg.Now()
+	}
+}
+
 // announce publishes the announcement.
 func (a *Announcer) announce(ctx context.Context, data []byte) error {
 	if _, err := a.cfg.Topics.Append(ctx, a.cfg.Topic, a.cfg.Address, data); err != nil {
--- a/internal/supervisor/announcer/announcer_test.go
+++ b/internal/supervisor/announcer/announcer_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"banyanquay/internal/provider"
@@ -16,10 +18,12 @@
 	items []provider.Item
 	down  bool
 	reads int
+	era   atomic.Uint64
 }
 
 func (s *topic) topics() provider.Topics {
 	return provider.Topics{
+		Era: s.era.Load,
 		Newest: func(context.Context, string) (provider.Items, error) {
 			s.reads++
 			if s.down {
@@ -52,6 +56,34 @@
 	return a
 }
 
+// The store comes back from a copy that may lack the announcement: it is published again,
+// unless it is older than any copy.
+func TestAnnouncementIsPublishedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &topic{}
+		a := New(Config{
+			Topics: s.topics(), Topic: "nodes", Address: "10.0.0.1:1", Centre: "a", Now: time.Now, Recorder: recorder.Nop(),
+			Known: func() int { return 1 },
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = a.Step().Run(ctx) }()
+		time.Sleep(10 * time.Second)
+		for _, c := range []struct {
+			after time.Duration
+			want  int
+		}{{0, 2}, {time.Second, 3}, {2 * maxCopyAge, 3}} {
+			time.Sleep(c.after)
+			s.era.Add(1)
+			time.Sleep(3 * eraCheckInterval)
+			synctest.Wait()
+			if got := len(s.items); got != c.want {
+				t.Errorf("announcements after a rise of the era to %d: got %d, want %d", s.era.Load(), got, c.want)
+			}
+		}
+	})
+}
+
 func TestListMergesAnnouncementsAndSeeds(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := &topic{}
--- a/internal/supervisor/broadcaster/broadcaster.go
+++ b/internal/supervisor/broadcaster/broadcaster.go
@@ -56,6 +56,8 @@
 	// Leaving are endpoints that said to the sender, or to a node that told it, that they
 	// leave.
 	Leaving []Leaving `cbor:"7,keyasint,omitempty"`
+	// Era is the store's era as far as the sender knows.
+	Era uint64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Leaving is one start of an endpoint that leaves.
@@ -94,6 +96,10 @@
 	SmallFleet func() bool
 	// Spent returns what this node has sent to services in the last window.
 	Spent func() map[string]budgeter.Usage
+	// Era returns the store's era as far as this node knows, and HandleEra takes what
+	// another node knows.
+	Era       func() uint64
+	HandleEra func(era uint64)
 	// Paces returns how many times slower than usual slow engines are, by ID, as
 	// this node has measured, and HandlePace takes what other nodes report.
 	Paces      func() map[string]float64
@@ -281,7 +287,7 @@
 	m.Leaving, p.leaving = p.leaving, nil
 	if now.Sub(p.lastSent) >= sendInterval {
 		p.lastSent = now
-		m.HasState, m.Slow, m.Spent = true, t.slow(), t.spent()
+		m.HasState, m.Slow, m.Spent, m.Era = true, t.slow(), t.spent(), t.cfg.Era()
 		if m.HasLoads = t.cfg.SmallFleet(); m.HasLoads {
 			m.Loads = t.loads()
 		}
@@ -342,6 +348,7 @@
 	for _, id := range m.Unreachable {
 		t.cfg.HandleUnreachable(id)
 	}
+	t.cfg.HandleEra(m.Era)
 	for _, l := range m.Leaving {
 		if t.cfg.HandleLeaving(l.ID, l.Born) {
 			t.BroadcastLeaving(l.ID, l.Born)
--- a/internal/supervisor/broadcaster/broadcaster_test.go
+++ b/internal/supervisor/broadcaster/broadcaster_test.go
@@ -21,6 +21,7 @@
 	suspected     []string
 	observedPaces map[string]float64
 	leaving       []Leaving
+	era           uint64
 }
 
 func newNode(name string) *node {
@@ -35,6 +36,7 @@
 		HandleUnreachable: func(id string) {
 			n.suspected = append(n.suspected, id)
 		},
+		Era: func() uint64 { return n.era }, HandleEra: func(era uint64) { n.era = max(n.era, era) },
 		HandleLeaving: func(id string, born int64) bool {
 			l := Leaving{ID: id, Born: born}
 			known := slices.Contains(n.leaving, l)
@@ -187,12 +189,16 @@
 
 func TestPacesAndBudgets(t *testing.T) {
 	a, b := newNode("a"), newNode("b")
+	a.era = 3
 	a.paces = map[string]float64{"e1": 12}
 	a.spent = map[string]budgeter.Usage{"s": {Requests: 100, Retries: 7}}
 	link(a, b, "1")()
 	if got, want := b.observedPaces["e1"], 12.0; got != want {
 		t.Errorf("pace: got %v, want %v", got, want)
 	}
+	if got, want := b.era, uint64(3); got != want {
+		t.Errorf("era: got %d, want %d", got, want)
+	}
 	spent, nodes := b.PeerSpent("s")
 	if want := (budgeter.Usage{Requests: 100, Retries: 7}); spent != want || nodes != 1 {
 		t.Errorf("spent: got %v of %d nodes, want %v of 1", spent, nodes, want)
--- a/internal/supervisor/elector/elector.go
+++ b/internal/supervisor/elector/elector.go
@@ -1,6 +1,7 @@
 // Package elector elects, through the platform's store, the node that sends orders
 // to endpoints. Membership suggests a node, a conditional append decides, and the
-// offset of the record determines the fencing number that endpoints check. Which
+// offset of the record determines the fencing number that endpoints check; offsets of a
+// later era of the store are higher, so that the number rises, too. Which
 // node leads does not depend on any clock.
 package elector
 
@@ -93,6 +94,9 @@
 
 	mu   sync.Mutex
 	lead leadership
+	// held is set once this process has led. If the store comes back from an older copy,
+	// it may lead again.
+	held bool
 
 	// lastAlive is when lastHolder, the holder at the last check, was last alive or
 	// first seen. Only the step's goroutine uses them.
@@ -125,8 +129,14 @@
 // check takes the lead if it is this node's turn.
 func (e *Elector) check(ctx context.Context) error {
 	l := e.current()
+	if l.known && l.end.Era() < e.cfg.Topics.CurrentEra() {
+		// The store came back from an older copy: the record may be gone, and an earlier
+		// holder's be the newest.
+		e.reset()
+		l = leadership{}
+	}
 	if !l.known {
-		if !e.takesPart() {
+		if !e.takesPart() && !e.hasHeld() {
 			return nil
 		}
 		var err error
@@ -233,6 +243,9 @@
 	if before := e.current(); e.isHolder(before) && !e.isHolder(l) {
 		e.cfg.Recorder.Info(recorder.LeaseLost, zap.Uint64("fence", before.fence), zap.String("holder", l.holder.Address))
 	}
+	if l.end.Era() < e.cfg.Topics.CurrentEra() {
+		return leadership{}, provider.ErrRestored
+	}
 	e.set(l)
 	return l, nil
 }
@@ -273,6 +286,14 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.lead = l
+	e.held = e.held || e.isHolder(l)
+}
+
+// hasHeld reports whether this process has led.
+func (e *Elector) hasHeld() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held
 }
 
 // reset forgets who leads, so that the next check reads the store.
--- a/internal/supervisor/elector/elector_test.go
+++ b/internal/supervisor/elector/elector_test.go
@@ -22,6 +22,16 @@
 	items []provider.Item
 	// lose drops the answers to appends, which still take effect.
 	lose bool
+	// era counts how often the store came back from an older copy.
+	era uint64
+}
+
+// restore brings the store back from a copy with the first n records.
+func (s *store) restore(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.items = s.items[:n:n]
 }
 
 func (s *store) Topics() provider.Topics {
@@ -29,16 +39,18 @@
 		Newest: func(context.Context, string) (provider.Items, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			items := provider.Items{End: provider.Offset(len(s.items))}
+			items := provider.Items{End: provider.EraOffset(s.era, uint64(len(s.items)))}
 			if n := len(s.items); n > 0 {
-				items.Items = s.items[n-1:]
+				newest := s.items[n-1]
+				newest.Offset = provider.EraOffset(s.era, uint64(n-1))
+				items.Items = []provider.Item{newest}
 			}
 			return items, nil
 		},
 		AppendAt: func(_ context.Context, _, key string, value []byte, at provider.Offset) (provider.Offset, error) {
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			if at != provider.Offset(len(s.items)) {
+			if at != provider.EraOffset(s.era, uint64(len(s.items))) {
 				return 0, provider.ErrOffsetConflict
 			}
 			s.items = append(s.items, provider.Item{Key: key, Value: value, Offset: at})
@@ -47,6 +59,11 @@
 			}
 			return at, nil
 		},
+		Era: func() uint64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.era
+		},
 	}
 }
 
@@ -147,6 +164,41 @@
 	})
 }
 
+// The store comes back from a copy that lacks the newest record, or all, or in which an
+// earlier holder that still runs is the newest; twice in a row, too. One node leads then,
+// with a higher number than any before.
+func TestStoreComesBackFromAnOlderCopy(t *testing.T) {
+	for _, kept := range []int{0, 1, 2} {
+		t.Run(fmt.Sprintf("%d of 2 records", kept), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &store{}
+				f := newFleet(t, s, 3)
+				time.Sleep(5 * time.Second)
+				first := f.leaders()[0]
+				f.set(fmt.Sprint("n", first), false)
+				time.Sleep(absenceTimeout + 2*time.Second)
+				f.set(fmt.Sprint("n", first), true) // was only cut off
+				time.Sleep(2 * time.Second)
+				highest, _ := f.all[f.leaders()[0]].Confirm(t.Context())
+				for range 2 {
+					s.restore(kept)
+					time.Sleep(5 * time.Second)
+					fence, leads := uint64(0), 0
+					for _, e := range f.all {
+						if n, ok := e.Confirm(t.Context()); ok && e.Leads() {
+							fence, leads = n, leads+1
+						}
+					}
+					if leads != 1 || fence <= highest {
+						t.Errorf("got %d leaders with fencing number %d, want one with a number over %d", leads, fence, highest)
+					}
+					highest = fence
+				}
+			})
+		})
+	}
+}
+
 // A holder that is missing for less than absenceTimeout keeps the lead.
 func TestShortAbsenceChangesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/supervisor/quarantiner/quarantiner.go
+++ b/internal/supervisor/quarantiner/quarantiner.go
@@ -83,6 +83,8 @@
 	sound map[Part]time.Time
 	// holds keeps a part for a while after the end of its quarantine, for its count.
 	holds map[Part]hold
+	// era is the era of the store in which the records were written.
+	era uint64
 	// held counts the times that a part was quarantined.
 	held  int
 	peers map[string]*news
--- a/internal/supervisor/quarantiner/quarantiner_test.go
+++ b/internal/supervisor/quarantiner/quarantiner_test.go
@@ -178,6 +178,13 @@
 	if got, want := len(records), 1; got != want {
 		t.Fatalf("records: got %d, want %d", got, want)
 	}
+	era := uint64(1)
+	q.cfg.Topics.Era = func() uint64 { return era }
+	q.write(t.Context())
+	q.write(t.Context())
+	if got, want := len(records), 2; got != want {
+		t.Errorf("records after the store came back from an older copy: got %d, want %d", got, want)
+	}
 	later := newTest(c)
 	held := 0
 	later.cfg.OnHold = func() { held++ }
--- a/internal/supervisor/quarantiner/record.go
+++ b/internal/supervisor/quarantiner/record.go
@@ -44,6 +44,7 @@
 
 // write writes the records that are due at this node.
 func (q *Quarantiner) write(ctx context.Context) {
+	q.noteEra(q.cfg.Topics.CurrentEra())
 	for p, h := range q.unwritten() {
 		if !q.cfg.IsWriter(p.key()) {
 			continue
@@ -61,6 +62,27 @@
 	}
 }
 
+// noteEra lets all records be written again if the store has come back from an older copy.
+func (q *Quarantiner) noteEra(era uint64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if era == q.era {
+		return
+	}
+	if len(q.holds) > 0 {
+		q.cfg.Recorder.Info(recorder.StoreRestored, zap.String("what", "quarantine to be written again"),
+			zap.Uint64("era", era), zap.Uint64("before", q.era), zap.Int("parts", len(q.holds)))
+	}
+	q.era = era
+	for p, h := range q.holds {
+		h.stored = false
+		if h.decided.IsZero() {
+			h.decided = q.cfg.Now()
+		}
+		q.holds[p] = h
+	}
+}
+
 // unwritten returns the parts in quarantine by this node's verdict of which it doesn't
 // know that the store has them.
 func (q *Quarantiner) unwritten() map[Part]hold {
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -188,16 +188,7 @@
 	})
 	r.composeMembers()
 	r.composePlacement()
-	r.broadcaster = broadcaster.New(broadcaster.Config{
-		Links: r.linker, Now: r.clock.Now,
-		Loads:             func() map[string]int { return r.forwarder.Loads() },
-		SmallFleet:        r.smallFleet,
-		HandleUnreachable: func(id string) { r.forwarder.HandleUnreachable(id) },
-		HandleLeaving:     r.syncer.MarkLeaving,
-		Spent:             func() map[string]budgeter.Usage { return r.budget.Usage() },
-		Paces:             func() map[string]float64 { return r.forwarder.Paces() },
-		HandlePace:        func(id string, pace float64) { r.forwarder.SetPace(id, pace) },
-	})
+	r.composeBroadcaster()
 	r.composeProtection()
 	r.budget = budgeter.New(budgeter.Config{
 		Window: s.Relay.RetryWindow.Duration, Others: r.broadcaster.PeerSpent, Now: r.clock.Now,
@@ -242,6 +233,27 @@
 	})
 }
 
+// composeBroadcaster creates the exchange of what the nodes know of endpoints.
+func (r *relayNode) composeBroadcaster() {
+	p := r.cfg.Platform
+	r.broadcaster = broadcaster.New(broadcaster.Config{
+		Links: r.linker, Now: r.clock.Now,
+		Loads:             func() map[string]int { return r.forwarder.Loads() },
+		SmallFleet:        r.smallFleet,
+		HandleUnreachable: func(id string) { r.forwarder.HandleUnreachable(id) },
+		HandleLeaving:     r.syncer.MarkLeaving,
+		Era:               p.Topics.CurrentEra,
+		HandleEra: func(era uint64) {
+			if p.Topics.ObserveEra != nil {
+				p.Topics.ObserveEra(era)
+			}
+		},
+		Spent:      func() map[string]budgeter.Usage { return r.budget.Usage() },
+		Paces:      func() map[string]float64 { return r.forwarder.Paces() },
+		HandlePace: func(id string, pace float64) { r.forwarder.SetPace(id, pace) },
+	})
+}
+
 // composeProtection creates the parts that keep requests away from endpoints that they
 // would harm.
 func (r *relayNode) composeProtection() {
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -140,10 +140,17 @@
 
 // followPeers queries the nodes that read the store for this one, and other nodes
 // while the store answers neither this node nor those.
+//
+// A reader that starts asks others once, too: the store may have come back from an older
+// copy, of which a node that knows nothing yet sees no sign.
 func (s *Syncer) followPeers(ctx context.Context) error {
+	asked := false
 	for grouper.Sleep(ctx, peerCheckInterval) {
 		if !s.cfg.IsReader() {
 			s.queryReaders(ctx)
+		} else if !asked && len(s.cfg.Peers()) > 0 {
+			asked = true
+			s.queryPeers(ctx)
 		}
 		if s.stale() && !s.queryPeers(ctx) {
 			grouper.Sleep(ctx, peerRetryDelay)
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -109,10 +109,12 @@
 	tableTimestamp atomic.Pointer[time.Time]
 
 	// The fields below are guarded by mu. history records the changes to the table
-	// for nodes that query this one. positions holds, by address, the last position
+	// for nodes that query this one, and departed the endpoints that were removed.
+	// positions holds, by address, the last position
 	// in the history of each node that this one queries. reader is the address of
 	// the node that reads the store for this one.
 	history   history
+	departed  departures
 	positions map[string]position
 	reader    string
 }
@@ -123,7 +125,7 @@
 	s.view.Store(&forwarder.View{})
 	s.table.Store(&registrar.Table{})
 	s.rawConfiguration.Store(&[]byte{})
-	s.history = newHistory()
+	s.history, s.departed = newHistory(), make(departures)
 	s.positions = make(map[string]position)
 	return s
 }
@@ -199,17 +201,27 @@
 	interval time.Duration
 	// due reports whether this node reads the topic now.
 	due func() bool
-	// apply merges the records of a read that was sent at sentAt: the newest record
-	// of each key if full is set, otherwise the records since the last read. Entries
-	// that vanish are kept until keepUntil.
-	apply func(items provider.Items, full bool, sentAt, keepUntil time.Time)
+	// apply merges the records of a read.
+	apply func(r reading)
+}
+
+// reading is the result of a read of a topic.
+type reading struct {
+	items provider.Items
+	// full is set if the items are the newest record of each key, and not the records
+	// since the last read; restored if the store has come back from an older copy since.
+	full     bool
+	restored bool
+	sentAt   time.Time
+	// keepUntil is the time until which entries that vanish are kept.
+	keepUntil time.Time
 }
 
 // follow reads a topic until ctx ends: first the newest record of each key, then the
 // records that come after them.
 func (s *Syncer) follow(ctx context.Context, f feed) error {
 	o := outage{recorder: s.cfg.Recorder, name: f.name, now: s.cfg.Now}
-	initialised := false
+	initialised, restored := false, false
 	var from provider.Offset
 	for ctx.Err() == nil {
 		if !f.due() {
@@ -220,6 +232,12 @@
 		sentAt := s.cfg.Now()
 		items, err := s.read(ctx, f, initialised, from)
 		switch {
+		case errors.Is(err, provider.ErrRestored):
+			// What was written since the copy is written again, as after an outage.
+			initialised, restored, o.returned = false, true, s.cfg.Now()
+			s.cfg.Recorder.Warn(recorder.StoreRestored, zap.String("what", f.name),
+				zap.Uint64("era", s.cfg.Topics.CurrentEra()), zap.Uint64("before", from.Era()))
+			continue
 		case errors.Is(err, provider.ErrCompacted):
 			initialised = false
 			continue
@@ -230,13 +248,13 @@
 			return nil
 		}
 		o.succeeded()
-		full := !initialised
-		if !s.cfg.Recorder.Guard(f.name, func() { f.apply(items, full, sentAt, o.returned.Add(lapseGracePeriod)) }) {
+		r := reading{items: items, full: !initialised, restored: restored, sentAt: sentAt, keepUntil: o.returned.Add(lapseGracePeriod)}
+		if !s.cfg.Recorder.Guard(f.name, func() { f.apply(r) }) {
 			initialised = false
 			grouper.Sleep(ctx, maxBackoff)
 			continue
 		}
-		initialised, from = true, items.End
+		initialised, restored, from = true, false, items.End
 		if !items.More && f.interval > 0 {
 			grouper.Sleep(ctx, f.interval)
 		}
@@ -257,7 +275,7 @@
 	return s.follow(ctx, feed{
 		name: "configuration", topic: s.cfg.ConfigTopic, wait: configurationWait,
 		due:   func() bool { return s.shouldRead(s.View().Confirmed, configurationAgeThreshold) },
-		apply: func(items provider.Items, _ bool, sentAt, _ time.Time) { s.applyConfiguration(items, sentAt) },
+		apply: func(r reading) { s.applyConfiguration(r.items, r.sentAt) },
 	})
 }
 
@@ -282,8 +300,8 @@
 			}
 			return !read || !s.cfg.Starting() && (s.cfg.IsReader() || len(s.cfg.Peers()) == 0)
 		},
-		apply: func(items provider.Items, _ bool, _, _ time.Time) {
-			s.cfg.HandleQuarantine(items.Items)
+		apply: func(r reading) {
+			s.cfg.HandleQuarantine(r.items.Items)
 			read = true
 		},
 	})
@@ -344,17 +362,22 @@
 	return view
 }
 
-// applyEndpoints merges records, or replaces the whole table by them if full is set.
-func (s *Syncer) applyEndpoints(items provider.Items, full bool, sentAt, keepUntil time.Time) {
+// applyEndpoints merges records, or replaces the whole table by them if the reading is
+// full.
+func (s *Syncer) applyEndpoints(r reading) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.cfg.Now()
 	var changes []registrar.Change
 	var entries []registrar.Entry
-	for _, it := range items.Items {
+	for _, it := range r.items.Items {
 		change := registrar.Change{ID: it.Key}
 		if len(it.Value) > 0 {
 			e, err := s.cfg.DecodeEntry(it.Key, it.Value)
+			if r.restored && err == nil && s.departed.has(e) {
+				s.cfg.Recorder.Info(recorder.StoreRestored, append(entryFields(e), zap.String("what", "dropped endpoint"))...)
+				continue // registers again if it is alive
+			}
 			if err != nil {
 				s.cfg.Counters.Fleet.Add("endpoint_records_unreadable", 1)
 				change.Unreadable = true
@@ -366,13 +389,13 @@
 		changes = append(changes, change)
 	}
 	before := s.Table()
-	next := before.With(now, keepUntil, changes)
-	if full {
-		next = before.Replaced(now, keepUntil, entries)
+	next := before.With(now, r.keepUntil, changes)
+	if r.full {
+		next = before.Replaced(now, r.keepUntil, entries)
 	}
 	s.replace(&next)
-	if !items.More {
-		s.tableTimestamp.Store(&sentAt)
+	if !r.items.More {
+		s.tableTimestamp.Store(&r.sentAt)
 	}
 	s.logChanges(before, &next)
 }
@@ -399,6 +422,7 @@
 // hold mu.
 func (s *Syncer) replace(next *registrar.Table) {
 	s.history.update(s.Table(), next)
+	s.departed.update(s.Table(), next, s.cfg.Now())
 	s.table.Store(next)
 }
 
--- a/internal/supervisor/syncer/syncer_test.go
+++ b/internal/supervisor/syncer/syncer_test.go
@@ -41,6 +41,18 @@
 	delay time.Duration
 	grown chan struct{}
 	calls int
+	// era counts how often the store came back from an older copy.
+	era uint64
+}
+
+// restore brings the store back from a copy with the first n records of a topic.
+func (s *store) restore(topic string, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.topics[topic] = s.topics[topic][:n:n]
+	close(s.grown)
+	s.grown = make(chan struct{})
 }
 
 func newStore() *store {
@@ -82,7 +94,11 @@
 }
 
 func (s *store) Topics() provider.Topics {
-	return provider.Topics{Newest: s.newest, Follow: s.follow}
+	return provider.Topics{Newest: s.newest, Follow: s.follow, Era: func() uint64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.era
+	}}
 }
 
 func (s *store) newest(ctx context.Context, topic string) (provider.Items, error) {
@@ -95,7 +111,7 @@
 	for _, it := range s.topics[topic] {
 		last[it.Key] = it
 	}
-	items := provider.Items{End: provider.Offset(len(s.topics[topic]))}
+	items := provider.Items{End: provider.EraOffset(s.era, uint64(len(s.topics[topic])))}
 	for _, it := range last {
 		if len(it.Value) > 0 {
 			items.Items = append(items.Items, it)
@@ -112,13 +128,16 @@
 	defer timer.Stop()
 	for over := wait == 0; ; {
 		s.mu.Lock()
-		all, grown, first := s.topics[topic], s.grown, s.first[topic]
+		all, grown, first, era := s.topics[topic], s.grown, s.first[topic], s.era
 		s.mu.Unlock()
+		if from.Era() != era {
+			return provider.Items{}, provider.ErrRestored
+		}
 		if from < first {
 			return provider.Items{}, provider.ErrCompacted
 		}
-		if len(all) > int(from) || over {
-			return provider.Items{Items: all[from:], End: provider.Offset(len(all))}, nil
+		if len(all) > int(from.Number()) || over {
+			return provider.Items{Items: all[from.Number():], End: provider.EraOffset(era, uint64(len(all)))}, nil
 		}
 		select {
 		case <-grown:
@@ -398,6 +417,77 @@
 	})
 }
 
+// The store comes back from a copy of some seconds ago. The configuration doesn't revert,
+// an endpoint that was removed since is not used again before it registers, one that the
+// copy lacks is kept until it does, and records that fill the lost offsets are not missed.
+func TestStoreComesBackFromAnOlderCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newStore()
+		st.put(configTopic, configKey, "1")
+		st.put(endpointTopic, "gone", "up")
+		st.put(endpointTopic, "back", "up")
+		st.put(endpointTopic, "stays", "up")
+		s := newSyncer(st, nil)
+		start(t, s)
+		time.Sleep(time.Second)
+		st.put(configTopic, configKey, "2")
+		st.put(endpointTopic, "gone", "")
+		st.put(endpointTopic, "back", "")
+		st.put(endpointTopic, "new", "up")
+		time.Sleep(2 * time.Second)
+		st.restore(endpointTopic, 3)
+		st.restore(configTopic, 1)
+		st.put(endpointTopic, "other", "up") // has the offset of a record that was read before
+		time.Sleep(time.Second)
+		if got, want := s.View().Configuration.Version(), int64(2); got != want {
+			t.Errorf("configuration: got %d, want %d", got, want)
+		}
+		want := map[string]bool{"gone": false, "back": false, "stays": true, "new": true, "other": true}
+		for id, listed := range want {
+			if _, ok := s.Table().Get(id); ok != listed {
+				t.Errorf("a second after the return, endpoint %s: got %v, want %v", id, ok, listed)
+			}
+		}
+		st.put(endpointTopic, "back", "up")
+		st.put(endpointTopic, "new", "up")
+		st.put(configTopic, configKey, "2")
+		st.put(configTopic, configKey, "3")
+		time.Sleep(5 * time.Second)
+		want["back"] = true
+		for id, listed := range want {
+			if _, ok := s.Table().Get(id); ok != listed {
+				t.Errorf("after all have registered again, endpoint %s: got %v, want %v", id, ok, listed)
+			}
+		}
+		if got, want := s.View().Configuration.Version(), int64(3); got != want {
+			t.Errorf("configuration: got %d, want %d", got, want)
+		}
+	})
+}
+
+// A reader that starts after the store came back knows of no earlier era; the other nodes
+// know the configuration that the copy lacks.
+func TestStartingReaderAsksOthersOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		st := newStore()
+		st.put(configTopic, configKey, "1")
+		st.put(endpointTopic, "a", "up")
+		peers := map[string]*Syncer{}
+		old := newSyncer(st, nil)
+		start(t, old)
+		st.put(configTopic, configKey, "2")
+		time.Sleep(2 * time.Second)
+		st.restore(configTopic, 1)
+		peers["old"] = old
+		fresh := newSyncer(st, peers)
+		start(t, fresh)
+		time.Sleep(time.Second)
+		if got, want := fresh.View().Configuration.Version(), int64(2); got != want {
+			t.Errorf("configuration: got %d, want %d", got, want)
+		}
+	})
+}
+
 // Nodes must back off from a store that is unreachable.
 func TestBackoffDuringOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
