Don't relay crashes forever when there are more than nodes keep

When dozens of engines end at once in a large fleet, nodes could have kept their links busy for a minute.

A node that is full now refuses further crashes, but for those of answers that had begun, for which it drops another kind. All nodes together tell at most 36 crashes a second of requests that were waiting (each node told four before), only those with a part that isn't known to be sound, and a verdict is reached only if something changed.

TestMoreCrashesThanFitAreNotRelayedForever fails with the eviction as it was (more than 100 rounds).

--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -126,7 +126,7 @@
 		})
 	}
 	if cfg.Quarantine == nil {
-		cfg.Quarantine = quarantiner.New(quarantiner.Config{Now: cfg.Now, Recorder: cfg.Recorder, Counters: cfg.Counters})
+		cfg.Quarantine = quarantiner.New(quarantiner.Config{Nodes: func() int { return 1 }, Now: cfg.Now, Recorder: cfg.Recorder, Counters: cfg.Counters})
 	}
 	f := &Forwarder{cfg: cfg, buffers: bounder.NewPool(cfg.BufferBytes), assessor: assessor.New(cfg.Now), started: cfg.Now()}
 	f.monitor = newMonitor(f)
--- a/internal/supervisor/quarantiner/exchange.go
+++ b/internal/supervisor/quarantiner/exchange.go
@@ -162,7 +162,11 @@
 		q.cfg.Recorder.Warn(recorder.ListBadRecord, zap.String("node", link.Address), zap.Error(err))
 		return
 	}
-	q.update(func() { q.tell(q.merge(m, link.ID), link.ID) })
+	q.update(func() bool {
+		fresh := q.merge(m, link.ID)
+		q.tell(fresh, link.ID)
+		return len(fresh.crashes)+len(fresh.sound) > 0
+	})
 }
 
 // merge merges a peer's message and returns what was new in it. What this node knows to
--- a/internal/supervisor/quarantiner/quarantiner.go
+++ b/internal/supervisor/quarantiner/quarantiner.go
@@ -34,11 +34,11 @@
 	// sound.
 	maxHolds = 256
 	maxSound = 8192
-	// waitingRate and waitingBurst limit the crashes per second that a node tells the
-	// others of requests whose answer had not begun: when many engines crash at once,
-	// there are hundreds of these.
-	waitingRate  = 4
-	waitingBurst = 12
+	// waitingRate and waitingBurst limit the crashes per second that all nodes together tell
+	// of requests whose answer had not begun: when many engines crash at once, there are
+	// hundreds of these, and each reaches all nodes.
+	waitingRate  = 36
+	waitingBurst = 108
 )
 
 // Config configures a Quarantiner. Its functions are safe for concurrent use.
@@ -49,6 +49,8 @@
 	// quarantine.
 	Topics provider.Topics
 	Topic  string
+	// Nodes returns how many nodes there are.
+	Nodes func() int
 	// IsWriter reports whether this node is among those that write the record of a part.
 	IsWriter func(key string) bool
 	// OnHold is called after parts have been quarantined.
@@ -142,38 +144,55 @@
 	if len(parts) == 0 {
 		return
 	}
-	q.update(func() {
+	q.update(func() bool {
 		e := evidence{engine: engine, at: q.cfg.Now(), answering: answering, parts: parts}
-		if q.add(e) && (answering || q.waiting.AllowN(e.at, 1)) {
+		added := q.add(e)
+		if added && (answering || q.worthTelling(e)) {
 			q.tell(q.newsOf(e), "")
 		}
+		return added
 	})
 }
 
+// worthTelling reports whether other nodes are told of a request whose answer had not
+// begun: only if it has a part that this node doesn't know to be sound, and at a limited
+// rate. The caller must hold mu.
+func (q *Quarantiner) worthTelling(e evidence) bool {
+	if _, proven := e.candidates(q.sound); proven {
+		return false
+	}
+	nodes := max(q.cfg.Nodes(), 1)
+	q.waiting.SetLimitAt(e.at, rate.Limit(float64(waitingRate)/float64(nodes)))
+	q.waiting.SetBurstAt(e.at, max(waitingBurst/nodes, 1))
+	return q.waiting.AllowN(e.at, 1)
+}
+
 // RecordSound records that an answer was written with the given parts.
 func (q *Quarantiner) RecordSound(parts []Part) {
 	if len(parts) == 0 {
 		return
 	}
-	q.update(func() {
+	q.update(func() (refuted bool) {
 		now := q.cfg.Now()
 		for _, p := range parts {
 			suspected := q.suspected(p)
 			q.sound[p] = now
 			if suspected {
 				q.tell(news{sound: []Part{p}}, "")
+				refuted = true
 			}
 		}
 		q.pruneSound(now)
+		return refuted
 	})
 }
 
-// update changes what is known and applies the verdict that follows.
-func (q *Quarantiner) update(change func()) {
+// update changes what is known, and applies the verdict that follows if the change
+// matters for it.
+func (q *Quarantiner) update(change func() (matters bool)) {
 	q.mu.Lock()
 	before := q.held
-	change()
-	if len(q.evidence) > 0 {
+	if change() {
 		q.settle()
 	}
 	added := q.held > before
@@ -210,8 +229,13 @@
 		return false
 	}
 	if len(q.evidence) >= maxEvidence {
-		oldest := max(slices.IndexFunc(q.evidence, func(old evidence) bool { return !old.answering }), 0)
-		q.evidence = slices.Delete(q.evidence, oldest, oldest+1)
+		// What is dropped here must not be added again when another node relays it, or the
+		// nodes would relay it forever.
+		least := slices.IndexFunc(q.evidence, func(old evidence) bool { return !old.answering })
+		if !e.answering || least < 0 {
+			return false
+		}
+		q.evidence = slices.Delete(q.evidence, least, least+1)
 	}
 	q.evidence = append(q.evidence, e)
 	return true
--- a/internal/supervisor/quarantiner/quarantiner_test.go
+++ b/internal/supervisor/quarantiner/quarantiner_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 func newTest(c *clock) *Quarantiner {
 	return New(Config{
 		Now: func() time.Time { return c.now }, Recorder: recorder.Nop(), Counters: counter.New(),
-		IsWriter: func(string) bool { return true },
+		IsWriter: func(string) bool { return true }, Nodes: func() int { return 1 },
 	})
 }
 
@@ -51,17 +52,21 @@
 
 // exchange delivers messages until there are none.
 func (n *network) exchange() {
-	for sent := true; sent; {
-		sent = false
-		for from, node := range n.nodes {
-			for to, peer := range n.nodes {
-				if body := node.flush(linker.Link{ID: fmt.Sprint(to)}); body != nil {
-					sent = true
-					peer.receive(linker.Link{ID: fmt.Sprint(from)}, body)
-				}
+	for n.round() {
+	}
+}
+
+// round delivers what is queued, and reports whether there was anything.
+func (n *network) round() (sent bool) {
+	for from, node := range n.nodes {
+		for to, peer := range n.nodes {
+			if body := node.flush(linker.Link{ID: fmt.Sprint(to)}); body != nil {
+				sent = true
+				peer.receive(linker.Link{ID: fmt.Sprint(from)}, body)
 			}
 		}
 	}
+	return sent
 }
 
 // heldAt returns the nodes at which a part is in quarantine.
@@ -93,6 +98,101 @@
 	}
 }
 
+// In a fleet of 195 nodes, each linked with eight, crashes seen at any two nodes reach all
+// within a few hops, and a crash of many engines at once makes little traffic.
+func TestLargeFleetJudgesTogether(t *testing.T) {
+	const size, links, maxHops = 195, 4, 6
+	n := newNetwork(size)
+	rng := rand.New(rand.NewPCG(1, 1))
+	peers := make(map[[2]int]bool)
+	for a := range size {
+		n.nodes[a].cfg.Nodes = func() int { return size }
+		for range links {
+			if b := rng.IntN(size); a != b {
+				peers[[2]int{min(a, b), max(a, b)}] = true
+			}
+		}
+	}
+	for link := range peers {
+		n.connect(link[0], link[1])
+	}
+	bytes := 0
+	// hop delivers what each node has queued, once.
+	hop := func() (sent bool) {
+		type delivery struct {
+			from, to int
+			body     []byte
+		}
+		var all []delivery
+		for link := range peers {
+			for _, d := range []delivery{{from: link[0], to: link[1]}, {from: link[1], to: link[0]}} {
+				if d.body = n.nodes[d.from].flush(linker.Link{ID: fmt.Sprint(d.to)}); d.body != nil {
+					bytes += len(d.body)
+					all = append(all, d)
+				}
+			}
+		}
+		for _, d := range all {
+			n.nodes[d.to].receive(linker.Link{ID: fmt.Sprint(d.from)}, d.body)
+		}
+		return len(all) > 0
+	}
+	n.nodes[3].RecordCrash("e1", []Part{shared, fatal}, true)
+	n.clock.now = at(400)
+	n.nodes[150].RecordCrash("e2", []Part{shared, fatal}, true)
+	hops := 0
+	for ; len(n.heldAt(fatal)) < size && hops < 50; hops++ {
+		hop()
+	}
+	if hops > maxHops {
+		t.Errorf("hops until all nodes refuse the part: got %d, want at most %d", hops, maxHops)
+	}
+	for hop() {
+	}
+	bytes = 0
+	n.clock.now = at(5000)
+	for node := range size {
+		for engine := range 40 {
+			n.nodes[node].RecordCrash(fmt.Sprint("engine-", engine), []Part{Part(1000 + node*40 + engine)}, false)
+		}
+	}
+	for hop() {
+	}
+	// The slowest link carries 14 Mbit a second; half a second of it is too long a queue.
+	if got, want := bytes/size, 14_000_000/8/2/4; got > want {
+		t.Errorf("bytes that a node sends when many engines crash at once: got %d, want at most %d", got, want)
+	}
+	if got := len(n.heldAt(1000)); got > 0 {
+		t.Errorf("a part of one request is in quarantine at %d nodes", got)
+	}
+}
+
+// More crashes than a node keeps must not be relayed forever: what a node drops it would
+// take for new when it comes back.
+func TestMoreCrashesThanFitAreNotRelayedForever(t *testing.T) {
+	n := newNetwork(4)
+	n.connect(3, 0)
+	for node := range n.nodes {
+		for i := range maxEvidence {
+			answering := i%4 == 0
+			e := evidence{engine: fmt.Sprint(node, "-", i), at: n.clock.now, answering: answering, parts: []Part{Part(1 + node*maxEvidence + i)}}
+			q := n.nodes[node]
+			q.mu.Lock()
+			if q.add(e) {
+				q.tell(q.newsOf(e), "")
+			}
+			q.mu.Unlock()
+		}
+	}
+	rounds := 0
+	for sent := true; sent && rounds < 100; rounds++ {
+		sent = n.round()
+	}
+	if rounds == 100 {
+		t.Error("the nodes still relay after 100 rounds")
+	}
+}
+
 // A node that starts later learns of the quarantine over its first link.
 func TestLaterNodeLearnsOfQuarantine(t *testing.T) {
 	n := newNetwork(2)
--- a/internal/supervisor/quarantiner/record.go
+++ b/internal/supervisor/quarantiner/record.go
@@ -110,7 +110,7 @@
 
 // HandleRecords merges records of the store.
 func (q *Quarantiner) HandleRecords(items []provider.Item) {
-	q.update(func() {
+	q.update(func() bool {
 		for _, it := range items {
 			if len(it.Value) == 0 {
 				continue
@@ -130,5 +130,6 @@
 				q.tell(news{held: []Part{Part(n)}}, "")
 			}
 		}
+		return false
 	})
 }
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -259,7 +259,7 @@
 func (r *relayNode) composeProtection() {
 	p := r.cfg.Platform
 	r.quarantiner = quarantiner.New(quarantiner.Config{
-		Links: r.linker, Topics: p.Topics, Topic: p.QuarantineTopic, IsWriter: r.writesQuarantine,
+		Links: r.linker, Topics: p.Topics, Topic: p.QuarantineTopic, Nodes: r.countNodes, IsWriter: r.writesQuarantine,
 		OnHold: func() { r.forwarder.EndQuarantined() },
 		Now:    r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
 	})
