Let the soak restore the store from older copies and limit endpoints

Two kinds, drawn from streams of their own so that no other fault of a seed changes: the store comes back from a copy of up to three seconds ago and the operator writes again, and an endpoint names a limit. Keeping to the limit isn't checked there, as nodes that are killed or paused are excused; the other guarantees are.

--- a/internal/soaker/causer.go
+++ b/internal/soaker/causer.go
@@ -58,6 +58,22 @@
 		r.updateSwitches(f.Kind, -1)
 	case scheduler.StoreCompact:
 		r.site.Compact()
+	case scheduler.Revoke, scheduler.Leave, scheduler.StoreRestore, scheduler.Limit:
+		r.injectSite(ctx, f)
+	default:
+		p := r.storeProxies[f.Target%len(r.storeProxies)]
+		if f.Kind >= scheduler.EndpointDelay {
+			p = r.endpointProxies[f.Target]
+		}
+		p.Set(proxyModes[f.Kind], f.Delay)
+		grouper.Sleep(ctx, f.Duration)
+		p.Set(proxier.Pass, 0)
+	}
+}
+
+// injectSite injects a fault of the site itself.
+func (r *run) injectSite(ctx context.Context, f scheduler.Fault) {
+	switch f.Kind {
 	case scheduler.Revoke:
 		r.site.Configure(imitator.Key)
 		r.auditor.KeyRevoked(revocableKey, time.Now())
@@ -68,17 +84,30 @@
 		r.site.Leave(f.Target)
 		grouper.Sleep(ctx, f.Duration)
 		r.site.Restart(f.Target)
-	default:
-		p := r.storeProxies[f.Target%len(r.storeProxies)]
-		if f.Kind >= scheduler.EndpointDelay {
-			p = r.endpointProxies[f.Target]
-		}
-		p.Set(proxyModes[f.Kind], f.Delay)
+	case scheduler.StoreRestore:
+		r.restoreStore(ctx, f.Duration)
+	case scheduler.Limit:
+		address := r.endpointProxies[f.Target].Address()
+		r.site.Limit(endpointLimit, address)
 		grouper.Sleep(ctx, f.Duration)
-		p.Set(proxier.Pass, 0)
+		r.site.Limit(0, address)
 	}
 }
 
+// endpointLimit is the number of requests a second that an endpoint in need takes.
+const endpointLimit = 5
+
+// restoreStore brings the store back from a copy that is as old as the fault is long. The
+// operator writes the configuration again, as endpoints do with their entries. Copies don't
+// overlap, so that none is older than a fault.
+func (r *run) restoreStore(ctx context.Context, age time.Duration) {
+	r.restoring.Lock()
+	defer r.restoring.Unlock()
+	r.site.Store.Backup()
+	grouper.Sleep(ctx, age)
+	r.site.RestoreStore()
+}
+
 // injectSignal sends a fault's signal to one node's process, or to all, and restarts
 // those that end.
 func (r *run) injectSignal(ctx context.Context, f scheduler.Fault) {
--- a/internal/soaker/scheduler/scheduler.go
+++ b/internal/soaker/scheduler/scheduler.go
@@ -37,10 +37,12 @@
 	EndpointDropBoth             // endpoint_silent
 	Revoke                       // revoke
 	Leave                        // leave
+	StoreRestore                 // store_restore
+	Limit                        // limit
 
-	// uniformKinds is how many kinds are drawn with equal probability: all but
-	// Leave, which is drawn separately so that adding it changed no other fault of a
-	// seed.
+	// uniformKinds is how many kinds are drawn with equal probability: all but those
+	// from Leave on, which are drawn separately so that adding them changed no other
+	// fault of a seed.
 	uniformKinds = int(Revoke) + 1
 )
 
@@ -73,6 +75,11 @@
 	Only []Kind
 }
 
+// draws reports whether faults of a kind are drawn.
+func (cfg Config) draws(kind Kind) bool {
+	return len(cfg.Only) == 0 || slices.Contains(cfg.Only, kind)
+}
+
 const (
 	// maxGap is the longest time between two faults.
 	maxGap = 1200 * time.Millisecond
@@ -95,6 +102,9 @@
 	// maximum time from its return to the leave of the next endpoint.
 	leaveDuration = 11 * time.Second
 	maxLeaveGap   = 4 * time.Second
+	// maxSeparateGap is the maximum time between two faults of a kind that is drawn
+	// separately and may overlap.
+	maxSeparateGap = 8 * time.Second
 )
 
 // Draw returns the faults of a run, ordered by their start.
@@ -122,14 +132,19 @@
 				revoked = begin + f.Duration
 			}
 			f.Duration = min(f.Duration, cfg.Time-begin)
-			if f.Duration > 0 && (len(cfg.Only) == 0 || slices.Contains(cfg.Only, kind)) {
+			if f.Duration > 0 && cfg.draws(kind) {
 				faults = append(faults, f)
 			}
 		}
 	}
-	if len(cfg.Only) == 0 || slices.Contains(cfg.Only, Leave) {
+	if cfg.draws(Leave) {
 		faults = append(faults, drawLeaves(cfg)...)
 	}
+	for n, kind := range []Kind{StoreRestore, Limit} {
+		if cfg.draws(kind) {
+			faults = append(faults, drawSeparate(cfg, kind, uint64(n+2))...)
+		}
+	}
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
@@ -146,6 +161,19 @@
 	return faults
 }
 
+// drawSeparate draws the faults of one kind from a stream of its own.
+func drawSeparate(cfg Config, kind Kind, stream uint64) []Fault {
+	r := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+stream))
+	var faults []Fault
+	for at := randomBelow(r, maxSeparateGap); at < cfg.Time-minDuration; at += minDuration + randomBelow(r, maxSeparateGap) {
+		faults = append(faults, Fault{
+			Kind: kind, At: at, Duration: min(minDuration+randomBelow(r, maxDuration-minDuration), cfg.Time-at),
+			Target: r.IntN(max(cfg.Endpoints, 1)),
+		})
+	}
+	return faults
+}
+
 // randomBelow draws a duration below a limit.
 func randomBelow(r *rand.Rand, limit time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(limit)))
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -111,6 +111,8 @@
 	// store unavailable or lose its answers.
 	mu          sync.Mutex
 	storeFaults map[scheduler.Kind]int
+	// restoring is held while a copy of the store is waiting to be restored.
+	restoring sync.Mutex
 }
 
 // Run executes the run of a seed and returns its report.
