--- /dev/null
+++ b/internal/supervisor/parts.go
@@ -0,0 +1,88 @@
+package supervisor
+
+import (
+	"context"
+
+	"banyanquay/internal/mapper"
+	"banyanquay/internal/supervisor/arranger"
+	"banyanquay/internal/supervisor/broadcaster"
+	"banyanquay/internal/supervisor/elector"
+	"banyanquay/internal/supervisor/forwarder/budgeter"
+	"banyanquay/internal/supervisor/forwarder/throttler"
+	"banyanquay/internal/supervisor/linker"
+	"banyanquay/internal/supervisor/quarantiner"
+	"banyanquay/internal/supervisor/tracker"
+)
+
+// composeMembers creates the links to other nodes and the tracker.
+func (r *relayNode) composeMembers() {
+	s := r.cfg.Settings
+	r.linker = linker.New(linker.Config{
+		Address: s.Address, Incarnation: r.identity.incarnation, Secret: s.FleetSecret,
+		Recorder: r.recorder, Counters: r.cfg.Counters,
+	})
+	r.linker.Handle(linker.Store, r.syncer.HandleQuery)
+	r.tracker = tracker.New(tracker.Config{
+		Address: s.Address, Centre: s.Centre, Incarnation: r.identity.incarnation,
+		List: r.announcer.List(), Links: r.linker, Recorder: r.recorder, Counters: r.cfg.Counters,
+		Now: r.clock.Now,
+	})
+}
+
+// composeBroadcaster creates the exchange of what the nodes know of endpoints.
+func (r *relayNode) composeBroadcaster() {
+	p := r.cfg.Platform
+	r.broadcaster = broadcaster.New(broadcaster.Config{
+		Links: r.linker, Now: r.clock.Now,
+		Loads:             func() map[string]int { return r.forwarder.Loads() },
+		SmallFleet:        r.smallFleet,
+		HandleUnreachable: func(id string) { r.forwarder.HandleUnreachable(id) },
+		HandleLeaving:     r.syncer.MarkLeaving,
+		Era:               p.Topics.CurrentEra,
+		HandleEra: func(era uint64) {
+			if p.Topics.ObserveEra != nil {
+				p.Topics.ObserveEra(era)
+			}
+		},
+		Spent:      func() map[string]budgeter.Usage { return r.budget.Usage() },
+		Paces:      func() map[string]float64 { return r.forwarder.Paces() },
+		HandlePace: func(id string, pace float64) { r.forwarder.SetPace(id, pace) },
+	})
+}
+
+// composeProtection creates the parts that keep requests away from endpoints that they
+// would harm.
+func (r *relayNode) composeProtection() {
+	p := r.cfg.Platform
+	r.quarantiner = quarantiner.New(quarantiner.Config{
+		Links: r.linker, Topics: p.Topics, Topic: p.QuarantineTopic, Nodes: r.countNodes, IsWriter: r.writesQuarantine,
+		OnHold: func() { r.forwarder.EndQuarantined() },
+		Now:    r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
+	})
+	r.throttler = throttler.New(throttler.Config{
+		Address: r.cfg.Settings.Address, Homes: r.permitHomes, Nodes: r.countNodes, Now: r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
+		Query: func(ctx context.Context, address string, query []byte) ([]byte, error) {
+			return r.linker.Query(ctx, address, linker.Permits, query)
+		},
+	})
+	r.linker.Handle(linker.Permits, r.throttler.HandleQuery)
+}
+
+// composePlacement creates the parts that assign layers to engines.
+func (r *relayNode) composePlacement() {
+	p := r.cfg.Platform
+	r.elector = elector.New(elector.Config{
+		Topics: p.Topics, Topic: p.LeadTopic, ReadRemote: r.readRemoteLead, Address: r.cfg.Settings.Address,
+		Incarnation: r.identity.incarnation, Alive: r.alive, Replaced: r.replaced, IsSuccessor: r.isSuccessor, IsCandidate: r.isCandidate,
+		Starting: r.starting, IsSeed: r.isSeed,
+		Now: r.clock.Now, Recorder: r.recorder,
+	})
+	r.linker.Handle(linker.Lead, r.elector.HandleQuery)
+	r.arranger = arranger.New(arranger.Config{
+		Configuration: func() *mapper.Configuration { return r.syncer.View().Configuration },
+		Endpoints:     r.syncer.Table, Report: p.Relay.Report, Place: p.Relay.Place,
+		Pace:  func(id string) float64 { return r.forwarder.Pace(id) },
+		Leads: r.elector.Leads, Confirm: r.elector.Confirm, Fenced: r.elector.Fenced,
+		Now: r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
+	})
+}
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -151,125 +149,6 @@
 	)
 }
 
-// outage logs the loss and the return of the store for one topic, and computes the
-// delays between failed calls.
-type outage struct {
-	recorder *recorder.Recorder
-	name     string
-	now      func() time.Time
-	failures int
-	// since is when the first of the current run of failures occurred, and returned
-	// when the last run ended.
-	since    time.Time
-	returned time.Time
-}
-
-// failed records a failed call and returns the delay before the next one. reader
-// reports whether this node reads the store for others.
-func (o *outage) failed(err error, reader bool) time.Duration {
-	if o.failures == 0 {
-		o.since = o.now()
-		o.recorder.Warn(recorder.StoreUnreachable, zap.String("what", o.name), zap.Error(err))
-	}
-	o.failures++
-	minDelay, maxDelay := nonReaderMinBackoff, nonReaderMaxBackoff
-	if reader {
-		minDelay, maxDelay = minBackoff, maxBackoff
-	}
-	delay := min(minDelay<<min(o.failures, 10), maxDelay)
-	return delay/2 + rand.N(delay/2+1)
-}
-
-// succeeded records a successful call.
-func (o *outage) succeeded() {
-	if o.failures == 0 {
-		return
-	}
-	o.returned = o.now()
-	o.recorder.Info(recorder.StoreReachable, zap.String("what", o.name),
-		zap.Int("failures", o.failures), zap.Duration("away", o.returned.Sub(o.since)))
-	o.failures = 0
-}
-
-// feed is a topic that this node follows.
-type feed struct {
-	name  string
-	topic string
-	// wait is how long a read waits for a record, and interval the pause between two
-	// reads.
-	wait     time.Duration
-	interval time.Duration
-	// due reports whether this node reads the topic now.
-	due func() bool
-	// apply merges the records of a read.
-	apply func(r reading)
-}
-
-// reading is the result of a read of a topic.
-type reading struct {
-	items provider.Items
-	// full is set if the items are the newest record of each key, and not the records
-	// since the last read; restored if the store has come back from an older copy since.
-	full     bool
-	restored bool
-	sentAt   time.Time
-	// keepUntil is the time until which entries that vanish are kept.
-	keepUntil time.Time
-}
-
-// follow reads a topic until ctx ends: first the newest record of each key, then the
-// records that come after them.
-func (s *Syncer) follow(ctx context.Context, f feed) error {
-	o := outage{recorder: s.cfg.Recorder, name: f.name, now: s.cfg.Now}
-	initialised, restored := false, false
-	var from provider.Offset
-	for ctx.Err() == nil {
-		if !f.due() {
-			initialised = false
-			grouper.Sleep(ctx, roleCheckInterval)
-			continue
-		}
-		sentAt := s.cfg.Now()
-		items, err := s.read(ctx, f, initialised, from)
-		switch {
-		case errors.Is(err, provider.ErrRestored):
-			// What was written since the copy is written again, as after an outage.
-			initialised, restored, o.returned = false, true, s.cfg.Now()
-			s.cfg.Recorder.Warn(recorder.StoreRestored, zap.String("what", f.name),
-				zap.Uint64("era", s.cfg.Topics.CurrentEra()), zap.Uint64("before", from.Era()))
-			continue
-		case errors.Is(err, provider.ErrCompacted):
-			initialised = false
-			continue
-		case err != nil && ctx.Err() == nil:
-			grouper.Sleep(ctx, o.failed(err, s.cfg.IsReader()))
-			continue
-		case err != nil:
-			return nil
-		}
-		o.succeeded()
-		r := reading{items: items, full: !initialised, restored: restored, sentAt: sentAt, keepUntil: o.returned.Add(lapseGracePeriod)}
-		if !s.cfg.Recorder.Guard(f.name, func() { f.apply(r) }) {
-			initialised = false
-			grouper.Sleep(ctx, maxBackoff)
-			continue
-		}
-		initialised, restored, from = true, false, items.End
-		if !items.More && f.interval > 0 {
-			grouper.Sleep(ctx, f.interval)
-		}
-	}
-	return nil
-}
-
-// read returns the newest record of each key, or waits for records after from.
-func (s *Syncer) read(ctx context.Context, f feed, initialised bool, from provider.Offset) (provider.Items, error) {
-	if !initialised {
-		return s.cfg.Topics.Newest(ctx, f.topic)
-	}
-	return s.cfg.Topics.Follow(ctx, f.topic, from, f.wait)
-}
-
 // followConfiguration keeps the configuration up to date.
 func (s *Syncer) followConfiguration(ctx context.Context) error {
 	return s.follow(ctx, feed{
