Name the quarantine's and the throttler's parts in usual terms

Renames and wording only: fatalParts, hasCandidate and decision in place of judge, accuses and verdict; backoff in place of rest.

--- a/internal/driver/relay.go
+++ b/internal/driver/relay.go
@@ -62,9 +62,9 @@
 	// together, and HasLimit is set if the response names one.
 	Limit    float64
 	HasLimit bool
-	// Rest is how long the endpoint wants no request from this node, if it turned the
+	// Backoff is how long the endpoint wants no request from this node, if it turned the
 	// request away; 0 if it doesn't say.
-	Rest time.Duration
+	Backoff time.Duration
 	// Leaving is set if the response says that the endpoint leaves.
 	Leaving bool
 }
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -73,7 +73,7 @@
 	{PartReleased, "A part in quarantine turned out not to be the cause: another part explains the crashes, or an answer was written with it.", "Nothing."},
 	{LimitNamed, "An endpoint names in its answers how many requests a second it takes; all nodes together keep to that.", "Check the endpoint: it asks for less work."},
 	{LimitEnded, "An endpoint that named a limit answers without one.", "Nothing."},
-	{EndpointResting, "An endpoint turned a request away and wants none from this node for a while.", "Check the endpoint if it appears in many of these events."},
+	{EndpointBackoff, "An endpoint turned a request away and wants none from this node for a while.", "Check the endpoint if it appears in many of these events."},
 	{StoreRestored, "The platform's store came back from a copy that is some seconds old; this node reads it anew and writes again what it needs there.", "Check that the operators' last changes are in force."},
 	{LeaseTaken, "This node now holds the lease and sends the orders to endpoints.", "Nothing."},
 	{LeaseLost, "Another node sends the orders now.", "Nothing; check this node if it happens often."},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -88,7 +88,7 @@
 	PartReleased                         // part of prompts released
 	LimitNamed                           // endpoint names a limit
 	LimitEnded                           // endpoint names no limit any more
-	EndpointResting                      // endpoint wants no requests for a while
+	EndpointBackoff                      // endpoint wants no requests for a while
 	StoreRestored                        // platform's store came back from an older copy
 )
 
--- a/internal/recorder/event_string.go
+++ b/internal/recorder/event_string.go
@@ -66,7 +66,7 @@
 	_ = x[PartReleased-522]
 	_ = x[LimitNamed-523]
 	_ = x[LimitEnded-524]
-	_ = x[EndpointResting-525]
+	_ = x[EndpointBackoff-525]
 	_ = x[StoreRestored-526]
 	_ = x[LeaseTaken-600]
 	_ = x[LeaseLost-601]
--- a/internal/supervisor/forwarder/rest_test.go
+++ b/internal/supervisor/forwarder/backoff_test.go
@@ -16,8 +16,8 @@
 
 // Guards against requests that go on reaching an endpoint that has turned one away for a
 // stated time: it was avoided only as long as another one could be used.
-func TestEndpointsAreLeftToRest(t *testing.T) {
-	const rest, grace, allowed = 3 * time.Second, 500 * time.Millisecond, 2
+func TestRequestedBackoffIsKept(t *testing.T) {
+	const pause, grace, allowed = 3 * time.Second, 500 * time.Millisecond, 2
 	cases := []struct {
 		name    string
 		path    string
@@ -44,7 +44,7 @@
 						since, known := turnedAway[address]
 						switch {
 						case !strings.Contains(strings.Join(c.resting, " "), address):
-						case known && time.Since(since) > rest:
+						case known && time.Since(since) > pause:
 							afterwards++
 						default:
 							if !known {
@@ -53,7 +53,7 @@
 								late[address]++
 							}
 							reply.Status, reply.NotRun, reply.Signed = http.StatusServiceUnavailable, true, false
-							reply.Rest = rest - time.Since(turnedAway[address])
+							reply.Backoff = pause - time.Since(turnedAway[address])
 						}
 						return reply, nil
 					},
@@ -70,14 +70,14 @@
 				}
 				for address, got := range late {
 					if got > allowed {
-						t.Errorf("requests that %s got in its rest: %d, want at most %d", address, got, allowed)
+						t.Errorf("requests that %s got meanwhile: %d, want at most %d", address, got, allowed)
 					}
 				}
 				if len(turnedAway) != len(c.resting) {
 					t.Errorf("endpoints that turned requests away: got %v, want %v", turnedAway, c.resting)
 				}
 				if !c.served && afterwards == 0 {
-					t.Error("no request came after the rest")
+					t.Error("no request came afterwards")
 				}
 			})
 		})
--- a/internal/supervisor/forwarder/limit.go
+++ b/internal/supervisor/forwarder/limit.go
@@ -26,8 +26,8 @@
 	if reply.Leaving {
 		f.cfg.MarkLeaving(endpoint, born)
 	}
-	if reply.Rest > 0 {
-		f.cfg.Throttler.Rest(endpoint, reply.Rest)
+	if reply.Backoff > 0 {
+		f.cfg.Throttler.BackOff(endpoint, reply.Backoff)
 	}
 }
 
--- a/internal/supervisor/forwarder/throttler/throttler.go
+++ b/internal/supervisor/forwarder/throttler/throttler.go
@@ -75,8 +75,8 @@
 	// limits holds the endpoints that name a limit, and buckets those of which this node
 	// is the home.
 	limits map[string]*limit
-	// rests holds until when endpoints want no request from this node.
-	rests map[string]time.Time
+	// backoffs holds until when endpoints want no request from this node.
+	backoffs map[string]time.Time
 	// failed holds until when nodes that didn't answer are not asked.
 	failed  map[string]time.Time
 	buckets map[string]*homeBucket
@@ -102,7 +102,7 @@
 
 // New returns a Throttler without limits.
 func New(cfg Config) *Throttler {
-	return &Throttler{cfg: cfg, limits: make(map[string]*limit), rests: make(map[string]time.Time), failed: make(map[string]time.Time), buckets: make(map[string]*homeBucket)}
+	return &Throttler{cfg: cfg, limits: make(map[string]*limit), backoffs: make(map[string]time.Time), failed: make(map[string]time.Time), buckets: make(map[string]*homeBucket)}
 }
 
 // Learn records the limit that an endpoint named in an answer, in requests a second;
@@ -129,26 +129,26 @@
 	l.perSecond, l.namedAt = perSecond, now
 }
 
-// Rest records that an endpoint turned a request away and wants none from this node for a
-// while. It does not shorten an earlier rest.
-func (t *Throttler) Rest(endpoint string, d time.Duration) {
+// BackOff records that an endpoint turned a request away and wants none from this node for a
+// while. It does not shorten an earlier time.
+func (t *Throttler) BackOff(endpoint string, d time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
 	until := now.Add(d)
-	if old, ok := t.rests[endpoint]; ok && !until.After(old) {
+	if old, ok := t.backoffs[endpoint]; ok && !until.After(old) {
 		return
 	}
-	if !t.resting(endpoint, now) {
-		t.cfg.Counters.Stages.Add("rests", 1)
-		t.cfg.Recorder.Info(recorder.EndpointResting, zap.String("endpoint", endpoint), zap.Duration("for", d))
+	if !t.backingOff(endpoint, now) {
+		t.cfg.Counters.Stages.Add("backoffs", 1)
+		t.cfg.Recorder.Info(recorder.EndpointBackoff, zap.String("endpoint", endpoint), zap.Duration("for", d))
 	}
-	t.rests[endpoint] = until
+	t.backoffs[endpoint] = until
 }
 
-// resting reports whether an endpoint wants no request now. The caller must hold mu.
-func (t *Throttler) resting(endpoint string, now time.Time) bool {
-	return now.Before(t.rests[endpoint])
+// backingOff reports whether an endpoint wants no request now. The caller must hold mu.
+func (t *Throttler) backingOff(endpoint string, now time.Time) bool {
+	return now.Before(t.backoffs[endpoint])
 }
 
 // end drops a limit. The caller must hold mu.
@@ -179,8 +179,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.cfg.Now()
-	if t.resting(endpoint, now) {
-		return t.rests[endpoint].Sub(now), true
+	if t.backingOff(endpoint, now) {
+		return t.backoffs[endpoint].Sub(now), true
 	}
 	l := t.current(endpoint)
 	if l == nil || l.permits > 0 {
@@ -205,7 +205,7 @@
 func (t *Throttler) Acquire(ctx context.Context, endpoint string) bool {
 	t.mu.Lock()
 	l := t.current(endpoint)
-	if t.resting(endpoint, t.cfg.Now()) {
+	if t.backingOff(endpoint, t.cfg.Now()) {
 		t.mu.Unlock()
 		return t.denied()
 	}
@@ -329,7 +329,7 @@
 	return g, err
 }
 
-// Retain drops the limits and rests of endpoints that are not known any more.
+// Retain drops the limits and backoffs of endpoints that are not known any more.
 func (t *Throttler) Retain(known func(id string) bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -338,5 +338,5 @@
 			delete(t.limits, id)
 		}
 	}
-	maps.DeleteFunc(t.rests, func(id string, _ time.Time) bool { return !known(id) })
+	maps.DeleteFunc(t.backoffs, func(id string, _ time.Time) bool { return !known(id) })
 }
--- a/internal/supervisor/quarantiner/evidence.go
+++ b/internal/supervisor/quarantiner/evidence.go
@@ -78,8 +78,8 @@
 	return known, len(known) > 0
 }
 
-// accuses reports whether a part is among the candidates.
-func (e evidence) accuses(p Part, sound map[Part]time.Time) bool {
+// hasCandidate reports whether a part is among the candidates.
+func (e evidence) hasCandidate(p Part, sound map[Part]time.Time) bool {
 	parts, _ := e.candidates(sound)
 	return slices.Contains(parts, p)
 }
@@ -122,10 +122,10 @@
 	return s.points >= threshold
 }
 
-// judge returns the fewest parts that explain the crashes, given when an answer was
+// fatalParts returns the fewest parts that explain the crashes, given when an answer was
 // last written with each part. A crash that one part explains doesn't count against the
 // other parts of its request.
-func judge(all []evidence, sound map[Part]time.Time) map[Part]bool {
+func fatalParts(all []evidence, sound map[Part]time.Time) map[Part]bool {
 	remaining := slices.Clone(all)
 	slices.SortStableFunc(remaining, func(a, b evidence) int { return a.at.Compare(b.at) })
 	found := make(map[Part]bool)
--- a/internal/supervisor/quarantiner/evidence_test.go
+++ b/internal/supervisor/quarantiner/evidence_test.go
@@ -34,7 +34,7 @@
 	return evidence{engine: engine, at: at(ms), parts: parts}
 }
 
-func TestJudge(t *testing.T) {
+func TestFatalParts(t *testing.T) {
 	cases := []struct {
 		name  string
 		all   []evidence
@@ -100,7 +100,7 @@
 		},
 	}
 	for _, c := range cases {
-		got := slices.Sorted(maps.Keys(judge(c.all, c.sound)))
+		got := slices.Sorted(maps.Keys(fatalParts(c.all, c.sound)))
 		if !slices.Equal(got, c.want) {
 			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
 		}
@@ -108,8 +108,8 @@
 }
 
 // Whatever crashes there are and in which order they become known, a part with which an
-// answer was written after all of them is not found, and the verdict is the same.
-func TestJudgeIsFairAndOrderIndependent(t *testing.T) {
+// answer was written after all of them is not found, and the decision is the same.
+func TestFatalPartsDontDependOnOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var all []evidence
 		for n := range rapid.IntRange(0, 12).Draw(t, "crashes") {
@@ -127,14 +127,14 @@
 				sound[p] = at(rapid.IntRange(-500, 1500).Draw(t, "soundAt"))
 			}
 		}
-		found := judge(all, sound)
+		found := fatalParts(all, sound)
 		for p := range found {
 			if last, ok := sound[p]; ok && last.After(at(12*60+50)) {
 				t.Errorf("part %d is found, although an answer was written with it after all crashes", p)
 			}
 		}
 		shuffled := rapid.Permutation(all).Draw(t, "shuffled")
-		if got, want := judge(shuffled, sound), found; !maps.Equal(got, want) {
+		if got, want := fatalParts(shuffled, sound), found; !maps.Equal(got, want) {
 			t.Errorf("in another order: got %v, want %v", got, want)
 		}
 	})
--- a/internal/supervisor/quarantiner/exchange.go
+++ b/internal/supervisor/quarantiner/exchange.go
@@ -61,7 +61,7 @@
 }
 
 // add adds other news, unless there are too many already: the peer then learns the
-// verdict, if not the evidence, from the store or with the next link.
+// decision, if not the evidence, from the store or with the next link.
 func (n *news) add(other news) {
 	if len(n.crashes)+len(n.sound)+len(n.held) >= maxNews {
 		return
--- a/internal/supervisor/quarantiner/quarantiner.go
+++ b/internal/supervisor/quarantiner/quarantiner.go
@@ -1,7 +1,7 @@
 // Package quarantiner finds parts of prompts under which engines crash, and keeps
 // requests with such a part from reaching further engines. The nodes exchange which
 // requests were in progress at engines that crashed, and with which parts answers were
-// written, so that all of them reach the same verdict; what is quarantined is also kept
+// written, so that all of them reach the same decision; what is quarantined is also kept
 // in the platform's store, for nodes that start later.
 package quarantiner
 
@@ -65,9 +65,9 @@
 	until time.Time
 	// times counts how often the part was quarantined.
 	times int
-	// decided is when this node reached the verdict itself; zero if it learnt of it.
+	// decided is when this node reached the decision itself; zero if it learnt of it.
 	decided time.Time
-	// since is the time of the first evidence behind that verdict, which may be revised
+	// since is the time of the first evidence behind that decision, which may be revised
 	// until that evidence is dropped. It is zero for a part that was in quarantine before:
 	// one crash sufficed.
 	since time.Time
@@ -187,7 +187,7 @@
 	})
 }
 
-// update changes what is known, and applies the verdict that follows if the change
+// update changes what is known, and applies the decision that follows if the change
 // matters for it.
 func (q *Quarantiner) update(change func() (matters bool)) {
 	q.mu.Lock()
@@ -241,18 +241,18 @@
 	return true
 }
 
-// settle applies the verdict on the evidence: it quarantines parts, and releases those
+// settle applies the decision on the evidence: it quarantines parts, and releases those
 // against which the same evidence no longer suffices, as other parts explain it or answers
 // were written with them. The caller must hold mu.
 func (q *Quarantiner) settle() {
 	now := q.cfg.Now()
-	fatal := judge(q.evidence, q.sound)
+	fatal := fatalParts(q.evidence, q.sound)
 	for p := range fatal {
 		q.renew(p, q.firstNamed(p))
 	}
 	for p, h := range q.holds {
 		if slices.ContainsFunc(q.evidence, func(e evidence) bool {
-			return e.answering && !e.at.Before(h.until) && e.accuses(p, q.sound)
+			return e.answering && !e.at.Before(h.until) && e.hasCandidate(p, q.sound)
 		}) {
 			q.renew(p, time.Time{})
 		}
@@ -264,7 +264,7 @@
 	}
 }
 
-// renew quarantines a part by this node's own verdict, unless it is in quarantine. The
+// renew quarantines a part by this node's own decision, unless it is in quarantine. The
 // caller must hold mu.
 func (q *Quarantiner) renew(p Part, since time.Time) {
 	now, h := q.cfg.Now(), q.holds[p]
--- a/internal/supervisor/quarantiner/quarantiner_test.go
+++ b/internal/supervisor/quarantiner/quarantiner_test.go
@@ -81,7 +81,7 @@
 
 // Engines crash under requests at different nodes; one crash each is no proof. Only the
 // node in the middle knows that answers were written with the other part.
-func TestNodesJudgeTogether(t *testing.T) {
+func TestNodesDecideTogether(t *testing.T) {
 	n := newNetwork(9)
 	n.nodes[4].RecordSound([]Part{shared})
 	n.clock.now = at(10)
@@ -100,7 +100,7 @@
 
 // In a fleet of 195 nodes, each linked with eight, crashes seen at any two nodes reach all
 // within a few hops, and a crash of many engines at once makes little traffic.
-func TestLargeFleetJudgesTogether(t *testing.T) {
+func TestLargeFleetDecidesTogether(t *testing.T) {
 	const size, links, maxHops = 195, 4, 6
 	n := newNetwork(size)
 	rng := rand.New(rand.NewPCG(1, 1))
@@ -207,7 +207,7 @@
 	}
 }
 
-// The verdict is revised when it turns out that the part was sound.
+// The decision is revised when it turns out that the part was sound.
 func TestRefutedPartIsReleased(t *testing.T) {
 	c := &clock{now: start}
 	q := newTest(c)
--- a/internal/supervisor/quarantiner/record.go
+++ b/internal/supervisor/quarantiner/record.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	// writeDelay is how long after its verdict a node writes the record: by then the
+	// writeDelay is how long after its decision a node writes the record: by then the
 	// others have told which of the parts are sound.
 	writeDelay = time.Second
 	// writeInterval is the time between two checks for records to write, and between two
@@ -83,7 +83,7 @@
 	}
 }
 
-// unwritten returns the parts in quarantine by this node's verdict of which it doesn't
+// unwritten returns the parts in quarantine by this node's decision of which it doesn't
 // know that the store has them.
 func (q *Quarantiner) unwritten() map[Part]hold {
 	q.mu.Lock()
