Log which requests have equal content, and which endpoints stopped under them

Event 206 of plain services didn't say whether the endpoint had stopped, and no event identified a request beyond its attempt: the hypotheses on the incident (a repeated request crashes endpoints, or crashes hit it by chance) could not be told apart. Attempts now carry a fingerprint of caller, method, host, path and body, and stopped. An endpoint is probed only after an attempt that broke off, one connection each.

TestEndlessBodiesOfAPlainService had a relay without Probe; it has one now.

--- a/internal/supervisor/forwarder/endless_test.go
+++ b/internal/supervisor/forwarder/endless_test.go
@@ -136,6 +136,7 @@
 				pacedBody: pacedBody{ctx: ctx, pieces: []string{strings.Repeat("x", 1<<16)}, endless: true}, total: &total,
 			}}, nil
 		},
+		Probe: func(context.Context, string) error { return nil },
 	}, registrar.Entry{ID: "d1", Service: "desk", Address: "d1:1", Centre: "a", Slots: 6},
 		registrar.Entry{ID: "d2", Service: "desk", Address: "d2:1", Centre: "a", Slots: 6})
 	cfg := w.f.cfg
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -175,7 +175,8 @@
 	// neededTokens is the number of tokens that a generation is expected to hold.
 	neededTokens int
 	// parts are the parts of the prompt that other requests may have, too.
-	parts []quarantiner.Part
+	parts       []quarantiner.Part
+	fingerprint quarantiner.Fingerprint
 	// lastEventID is the ID of the last event that the caller has. This field and
 	// those below belong to the request's goroutine.
 	lastEventID string
@@ -274,6 +275,7 @@
 	view = f.cfg.View()
 	cfg := view.Configuration
 	c.version = cfg.Version()
+	c.fingerprint = fingerprint(c.Request, cfg)
 	route, ok := cfg.Route(c.Host, c.Path)
 	if !ok {
 		return refuser.New(refuser.NoSuchPath, "no route of host %s matches path %s", c.Host, c.Path)
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -276,6 +276,7 @@
 		zap.String("request", c.ID), zap.Strings("path", addresses(state.path)), zap.Int("send", c.sends),
 		zap.Int("events", state.events), zap.Duration("took", f.cfg.Now().Sub(broken.began)),
 		zap.Bool("answering", broken.answering), zap.Bool("stopped", stopped), zap.Strings("prompt", c.SharedParts),
+		zap.Stringer("fingerprint", c.fingerprint),
 		zap.NamedError("cause", cause), zap.Error(broken.err))
 }
 
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -185,11 +185,18 @@
 		f.cfg.Recorder.Info(recorder.AttemptFailed,
 			zap.String("request", c.ID), zap.String("endpoint", e.ID), zap.String("address", e.Address),
 			zap.Int("status", o.reply.Status), zap.Bool("never", o.notRun), zap.Int("send", c.sends),
+			zap.Bool("stopped", f.crashed(ctx, e, o)), zap.Stringer("fingerprint", c.fingerprint),
 			zap.Duration("took", took), zap.Error(o.err))
 	}
 	return o
 }
 
+// crashed reports whether an attempt broke off since its endpoint has stopped. If the
+// attempt ended first, the endpoint isn't probed.
+func (f *Forwarder) crashed(ctx context.Context, e registrar.Entry, o outcome) bool {
+	return o.err != nil && !o.notRun && ctx.Err() == nil && f.prober.stopped(e.Address)
+}
+
 // attemptTimeout is how long one attempt may take.
 func (f *Forwarder) attemptTimeout(c *call) time.Duration {
 	left, limited := c.remaining(f.cfg.Now(), c.route.Timeout)
--- a/internal/supervisor/forwarder/quarantine.go
+++ b/internal/supervisor/forwarder/quarantine.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"banyanquay/internal/mapper"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/supervisor/quarantiner"
 )
@@ -18,6 +19,16 @@
 	return refuser.New(refuser.PartQuarantined, "part %s of the prompt is in quarantine", part).WithWait(remaining), true
 }
 
+// fingerprint returns a request's fingerprint. An organisation stays the same caller when
+// its key is replaced.
+func fingerprint(r Request, cfg *mapper.Configuration) quarantiner.Fingerprint {
+	caller := r.Key
+	if o, ok := cfg.Organisation(r.Key); ok {
+		caller = o.Name
+	}
+	return quarantiner.NewFingerprint(caller, r.Method, r.Host, r.Target, r.Body)
+}
+
 // recordCrash records that the first engine of an attempt had stopped before the
 // answer had enough events to show that its prompt was not the cause.
 func (f *Forwarder) recordCrash(c *call, state snapshot, answering bool) {
