--- a/cmd/banyanquayd/crash_test.go
+++ b/cmd/banyanquayd/crash_test.go
@@ -22,8 +22,22 @@
 	maxFatalSends   = 3
 )
 
-// crashTraffic sends requests with a part that crashes engines and, beside them, sound
-// ones that share their other part.
+const (
+	// maxRepeatCrashes is how many endpoints a request may crash that comes again and
+	// again, and maxRepeatSends how often it may reach endpoints later than stableWindow
+	// after that.
+	maxRepeatCrashes = 3
+	maxRepeatSends   = 3
+)
+
+// crashRequest is what a request of crashTraffic is.
+type crashRequest struct {
+	method string
+	path   string
+	parts  []string
+}
+
+// crashTraffic sends fatal requests, which crash endpoints, and sound ones beside them.
 type crashTraffic struct {
 	f    *fleet
 	done chan struct{}
@@ -36,8 +50,8 @@
 
 // start sends requests until done is closed: a fatal one each 150 ms, a sound one each
 // 100 ms, at the nodes in turn.
-func (c *crashTraffic) start(t *testing.T) {
-	send := func(interval time.Duration, name string, parts []string, record func(code int)) {
+func (c *crashTraffic) start(t *testing.T, fatal, sound crashRequest) {
+	send := func(interval time.Duration, name string, r crashRequest, record func(code int)) {
 		c.wg.Go(func() {
 			for n := 0; ; n++ {
 				select {
@@ -47,15 +61,15 @@
 				}
 				c.wg.Go(func() {
 					caller := c.f.visitor(n%3, imitator.Key)
-					caller.Parts = parts
-					code, _, _ := caller.Call(t.Context(), http.MethodPost, "/stream/1", fmt.Sprint(name, n))
+					caller.Parts = r.parts
+					code, _, _ := caller.Call(t.Context(), r.method, r.path, fmt.Sprint(name, n))
 					record(code)
 				})
 			}
 		})
 	}
-	send(150*time.Millisecond, "fatal", []string{"shared", "fatal"}, func(int) {})
-	send(100*time.Millisecond, "sound", []string{"shared"}, func(code int) {
+	send(150*time.Millisecond, "fatal", fatal, func(int) {})
+	send(100*time.Millisecond, "sound", sound, func(code int) {
 		c.sent.Add(1)
 		if code == http.StatusOK {
 			c.begun.Add(1)
@@ -63,15 +77,8 @@
 	})
 }
 
-// Guards against requests with one part in their prompts that crash engine after engine:
-// nothing connected the crashes under different requests, at different nodes, or before
-// and after a restart of all nodes.
-func TestPartThatCrashesEngines(t *testing.T) {
-	f := startFleet(t)
-	f.site.CrashOn("fatal")
-	traffic := &crashTraffic{f: f, done: make(chan struct{})}
-	traffic.start(t)
-	time.Sleep(6 * time.Second)
+// restart stops all nodes of a fleet and starts them again.
+func (f *fleet) restart(t *testing.T) {
 	var wg sync.WaitGroup
 	for _, app := range f.nodes {
 		wg.Go(func() { stopNode(t, app) })
@@ -80,6 +87,29 @@
 	for n := range 3 {
 		f.nodes[n] = f.startNode(t, n)
 	}
+}
+
+// lateArrivals returns how many fatal requests arrived at endpoints later than
+// stableWindow after the given number of crashes.
+func lateArrivals(crashes, arrivals []time.Time, allowed int) (late int) {
+	for _, at := range arrivals {
+		if len(crashes) >= allowed && at.After(crashes[allowed-1].Add(stableWindow)) {
+			late++
+		}
+	}
+	return late
+}
+
+// Guards against requests with one part in their prompts that crash engine after engine:
+// nothing connected the crashes under different requests, at different nodes, or before
+// and after a restart of all nodes.
+func TestPartThatCrashesEngines(t *testing.T) {
+	f := startFleet(t)
+	f.site.CrashOn("fatal")
+	traffic := &crashTraffic{f: f, done: make(chan struct{})}
+	traffic.start(t, crashRequest{http.MethodPost, "/stream/1", []string{"shared", "fatal"}}, crashRequest{http.MethodPost, "/stream/1", []string{"shared"}})
+	time.Sleep(6 * time.Second)
+	f.restart(t)
 	time.Sleep(stableWindow)
 	traffic.sent.Store(0)
 	traffic.begun.Store(0)
@@ -90,13 +120,7 @@
 	if len(crashes) == 0 {
 		t.Fatal("no engine crashed: the test shows nothing")
 	}
-	late := 0
-	for _, at := range arrivals {
-		if len(crashes) >= maxFatalCrashes && at.After(crashes[maxFatalCrashes-1].Add(stableWindow)) {
-			late++
-		}
-	}
-	if late > maxFatalSends {
+	if late := lateArrivals(crashes, arrivals, maxFatalCrashes); late > maxFatalSends {
 		t.Errorf("requests that reached engines %v after the crash of %d: got %d, want at most %d; %d crashed in all",
 			stableWindow, maxFatalCrashes, late, maxFatalSends, len(crashes))
 	}
@@ -104,3 +128,42 @@
 		t.Errorf("sound requests that share the other part: %d of %d were answered, want at least half", begun, sent)
 	}
 }
+
+// Guards against one request that comes again and again, at any node, and crashes one
+// endpoint of a plain service after the other: only parts of prompts were held against it.
+func TestRepeatedRequestThatCrashesEndpoints(t *testing.T) {
+	cases := []struct {
+		name  string
+		fatal crashRequest
+	}{
+		{"an idempotent request", crashRequest{method: http.MethodGet, path: "/look/fatal"}},
+		{"a non-idempotent request", crashRequest{method: http.MethodPost, path: "/book/fatal"}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := startFleet(t)
+			f.site.CrashOnPath(c.fatal.path)
+			traffic := &crashTraffic{f: f, done: make(chan struct{})}
+			traffic.start(t, c.fatal, crashRequest{method: http.MethodGet, path: "/look/1"})
+			time.Sleep(5 * time.Second)
+			f.restart(t)
+			time.Sleep(stableWindow)
+			traffic.sent.Store(0)
+			traffic.begun.Store(0)
+			time.Sleep(stableWindow)
+			close(traffic.done)
+			traffic.wg.Wait()
+			crashes, arrivals := f.site.Crashes()
+			if len(crashes) == 0 {
+				t.Fatal("no endpoint crashed: the test shows nothing")
+			}
+			if late := lateArrivals(crashes, arrivals, maxRepeatCrashes); late > maxRepeatSends {
+				t.Errorf("arrivals of the request at endpoints later than %v after it crashed the %drd: got %d, want at most %d; %d crashed in all",
+					stableWindow, maxRepeatCrashes, late, maxRepeatSends, len(crashes))
+			}
+			if sent, begun := traffic.sent.Load(), traffic.begun.Load(); begun < sent {
+				t.Errorf("other requests to the service from %v after the restart on: %d of %d were answered, want all", stableWindow, begun, sent)
+			}
+		})
+	}
+}
