Keep requests that crashed endpoints from reaching further ones

What callers saw: a request that crashes each endpoint that runs it came again, at any node.

Cause: crashes were attributed to parts of prompts only.

Ruled out: that an attempt is sent on too often (the sends after 11 s crashed one endpoint each), and crashes by chance (one route each time, at every node; with the request refused in the test, no endpoint crashes).

Change: the quarantine also holds fingerprints of caller, method, host, path and body. Two crashes at different moments suffice; an endpoint to which the request was sent after the first one had crashed is another moment, however soon. An endpoint that crashes, starts again under its ID and crashes again counts twice. An answer to an equal request clears it. Equal requests in progress are cancelled. Nodes of earlier builds ignore the new field.

--- a/internal/refuser/code.go
+++ b/internal/refuser/code.go
@@ -77,15 +77,16 @@
 
 // Codes of endpoints and pipelines.
 const (
-	NoPipeline      Code = iota + 5001 // no_pipeline
-	NoEndpoint                         // no_endpoint
-	EndpointFailed                     // endpoint_failed
-	DeadlinePassed                     // deadline_passed
-	CallerLeft                         // caller_left
-	StreamBroken                       // stream_broken
-	AnswerOutdated                     // answer_outdated
-	PartQuarantined                    // part_quarantined
-	EndpointLimit                      // endpoint_limit
+	NoPipeline         Code = iota + 5001 // no_pipeline
+	NoEndpoint                            // no_endpoint
+	EndpointFailed                        // endpoint_failed
+	DeadlinePassed                        // deadline_passed
+	CallerLeft                            // caller_left
+	StreamBroken                          // stream_broken
+	AnswerOutdated                        // answer_outdated
+	PartQuarantined                       // part_quarantined
+	EndpointLimit                         // endpoint_limit
+	RequestQuarantined                    // request_quarantined
 )
 
 // Codes of configuration.
@@ -176,6 +177,7 @@
 	{AnswerOutdated, http.StatusConflict, false, "The model, version or adapter that generated the received tokens is no longer served.", "Send the request again without received."},
 	{PartQuarantined, http.StatusServiceUnavailable, true, "Engines crashed under requests with a part of this prompt.", "Leave the part out, or retry after the time in Retry-After."},
 	{EndpointLimit, http.StatusServiceUnavailable, true, "The endpoints that could serve the request take no more requests now.", "Retry after the time in Retry-After."},
+	{RequestQuarantined, http.StatusServiceUnavailable, true, "Endpoints crashed under this request.", "Change the request, or retry after the time in Retry-After."},
 	{Conflict, http.StatusPreconditionFailed, true, "Another change of the organisation was accepted first.", "Read the current revision and apply the change to it."},
 	{LogUnavailable, http.StatusServiceUnavailable, true, "The platform's log is unreachable.", "Retry after the time in Retry-After."},
 	{NotCaughtUp, http.StatusServiceUnavailable, true, "The node does not yet know the configuration and the endpoints.", "Try another address."},
--- a/internal/refuser/code_string.go
+++ b/internal/refuser/code_string.go
@@ -47,6 +47,7 @@
 	_ = x[AnswerOutdated-5007]
 	_ = x[PartQuarantined-5008]
 	_ = x[EndpointLimit-5009]
+	_ = x[RequestQuarantined-5010]
 	_ = x[Conflict-6001]
 	_ = x[LogUnavailable-6002]
 	_ = x[NotCaughtUp-6003]
@@ -60,7 +61,7 @@
 	_Code_name_1 = "no_credentialwrong_credentialno_such_modelno_such_serviceno_such_organisationno_such_nodeunknown_key"
 	_Code_name_2 = "over_sharequeue_too_longdeadline_too_closeretry_budget_spenttoo_many_requests"
 	_Code_name_3 = "in_progressoutcome_unknownkey_expiredkey_from_futureledger_unavailableledger_catching_upsupersededanswer_too_large"
-	_Code_name_4 = "no_pipelineno_endpointendpoint_faileddeadline_passedcaller_leftstream_brokenanswer_outdatedpart_quarantinedendpoint_limit"
+	_Code_name_4 = "no_pipelineno_endpointendpoint_faileddeadline_passedcaller_leftstream_brokenanswer_outdatedpart_quarantinedendpoint_limitrequest_quarantined"
 	_Code_name_5 = "conflictlog_unavailablenot_caught_up"
 	_Code_name_6 = "leavingnode_overloadinternal_error"
 )
@@ -70,7 +71,7 @@
 	_Code_index_1 = [...]uint8{0, 13, 29, 42, 57, 77, 89, 100}
 	_Code_index_2 = [...]uint8{0, 10, 24, 42, 60, 77}
 	_Code_index_3 = [...]uint8{0, 11, 26, 37, 52, 70, 88, 98, 114}
-	_Code_index_4 = [...]uint8{0, 11, 22, 37, 52, 63, 76, 91, 107, 121}
+	_Code_index_4 = [...]uint8{0, 11, 22, 37, 52, 63, 76, 91, 107, 121, 140}
 	_Code_index_5 = [...]uint8{0, 8, 23, 36}
 	_Code_index_6 = [...]uint8{0, 7, 20, 34}
 )
@@ -89,7 +90,7 @@
 	case 4001 <= i && i <= 4008:
 		i -= 4001
 		return _Code_name_3[_Code_index_3[i]:_Code_index_3[i+1]]
-	case 5001 <= i && i <= 5009:
+	case 5001 <= i && i <= 5010:
 		i -= 5001
 		return _Code_name_4[_Code_index_4[i]:_Code_index_4[i+1]]
 	case 6001 <= i && i <= 6003:
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -57,8 +57,8 @@
 	BufferBytes int64
 	// Budget is the retry budget.
 	Budget *budgeter.Budgeter
-	// Quarantine knows the parts of prompts under which engines crash; nil means one that
-	// learns from this node alone.
+	// Quarantine knows the requests, and the parts of prompts, under which endpoints crash;
+	// nil means one that learns from this node alone.
 	Quarantine *quarantiner.Quarantiner
 	// Throttler keeps to the limits that endpoints name; nil means one for this node
 	// alone.
@@ -105,6 +105,7 @@
 	assessor *assessor.Assessor
 	prober   *prober
 	monitor  *monitor
+	plain    plainAttempts
 	current  atomic.Pointer[endpointIndex]
 	started  time.Time
 }
@@ -174,9 +175,8 @@
 	version   int64
 	// neededTokens is the number of tokens that a generation is expected to hold.
 	neededTokens int
-	// parts are the parts of the prompt that other requests may have, too.
-	parts       []quarantiner.Part
-	fingerprint quarantiner.Fingerprint
+	// content is what the request may have in common with others.
+	content quarantiner.Request
 	// lastEventID is the ID of the last event that the caller has. This field and
 	// those below belong to the request's goroutine.
 	lastEventID string
@@ -275,7 +275,7 @@
 	view = f.cfg.View()
 	cfg := view.Configuration
 	c.version = cfg.Version()
-	c.fingerprint = fingerprint(c.Request, cfg)
+	c.content = content(c.Request, cfg)
 	route, ok := cfg.Route(c.Host, c.Path)
 	if !ok {
 		return refuser.New(refuser.NoSuchPath, "no route of host %s matches path %s", c.Host, c.Path)
@@ -328,7 +328,6 @@
 		return refuser.New(refuser.BadRequest, "%v", err)
 	}
 	c.Request, c.neededTokens, c.lastEventID = req, req.estimatedTokens(), req.LastEventID
-	c.parts = quarantiner.Parts(req.SharedParts)
 	return nil
 }
 
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -54,7 +54,7 @@
 	errStalled     = trace.ConnectionProblem(nil, "no progress")
 	errEnded       = trace.ConnectionProblem(nil, "the attempt ended")
 	errDeadline    = trace.LimitExceeded("the deadline of the request has passed")
-	errQuarantined = trace.AccessDenied("a part of the prompt was quarantined")
+	errQuarantined = trace.AccessDenied("the request was quarantined")
 )
 
 // generate runs a generation along a path of engines, and continues it along other
@@ -215,7 +215,7 @@
 		c.runs++
 		f.assessor.Succeeded(path[0].ID, f.cfg.Now().Sub(began))
 		if s.snapshot().attemptEvents < quarantiner.ProvenEvents {
-			f.cfg.Quarantine.RecordSound(c.parts)
+			f.cfg.Quarantine.RecordSound(c.content)
 		}
 		return true, nil
 	}
@@ -263,7 +263,7 @@
 		f.countRun(c, s, stopped)
 	}
 	if stopped {
-		f.recordCrash(c, s.snapshot(), broken.answering)
+		f.recordCrash(c, s.snapshot(), broken)
 	}
 	if !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) && !errors.Is(cause, errQuarantined) {
 		// A stall has been attributed to the endpoint at fault already.
@@ -276,7 +276,7 @@
 		zap.String("request", c.ID), zap.Strings("path", addresses(state.path)), zap.Int("send", c.sends),
 		zap.Int("events", state.events), zap.Duration("took", f.cfg.Now().Sub(broken.began)),
 		zap.Bool("answering", broken.answering), zap.Bool("stopped", stopped), zap.Strings("prompt", c.SharedParts),
-		zap.Stringer("fingerprint", c.fingerprint),
+		zap.Stringer("fingerprint", c.content.Fingerprint),
 		zap.NamedError("cause", cause), zap.Error(broken.err))
 }
 
@@ -358,7 +358,7 @@
 		}
 		c.lastEventID = e.id
 		if s.recordEvent(f.cfg.Now()) == quarantiner.ProvenEvents {
-			f.cfg.Quarantine.RecordSound(c.parts)
+			f.cfg.Quarantine.RecordSound(c.content)
 		}
 	}
 }
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -16,6 +16,7 @@
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/registrar"
+	"banyanquay/internal/supervisor/quarantiner"
 )
 
 const (
@@ -73,6 +74,13 @@
 	var last, kept outcome
 	var lastEndpoint, keptEndpoint registrar.Entry
 	for {
+		if r, held := f.quarantined(c); held {
+			if c.runs == 0 {
+				f.refuse(c, r)
+				return
+			}
+			break
+		}
 		e, ok := f.permittedEndpoint(c)
 		if !ok {
 			break
@@ -168,16 +176,27 @@
 	c.sends++
 	end := f.assessor.Begin([]string{e.ID}, 0)
 	defer end()
-	ctx, cancel := context.WithTimeout(c.r.Context(), f.attemptTimeout(c))
-	defer cancel()
+	ctx, stop := context.WithTimeout(c.r.Context(), f.attemptTimeout(c))
+	defer stop()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer f.plain.begin(c, cancel)()
 	o := f.exchange(ctx, c, e)
 	took := f.cfg.Now().Sub(began)
 	if !o.notRun {
 		c.runs++
 	}
+	crashed := f.crashed(ctx, e, o)
+	if crashed {
+		f.cfg.Quarantine.RecordCrash(quarantiner.Crash{Endpoint: e.ID, Request: c.content, Sent: began, Answering: true})
+	} else if o.err == nil && !o.notRun {
+		f.cfg.Quarantine.RecordSound(c.content)
+	}
 	switch {
 	case o.succeeded():
 		f.assessor.Succeeded(e.ID, took)
+	case errors.Is(context.Cause(ctx), errQuarantined):
+		// The endpoint is not at fault.
 	case c.r.Context().Err() == nil:
 		f.assessor.Failed(e.ID)
 	}
@@ -185,7 +204,7 @@
 		f.cfg.Recorder.Info(recorder.AttemptFailed,
 			zap.String("request", c.ID), zap.String("endpoint", e.ID), zap.String("address", e.Address),
 			zap.Int("status", o.reply.Status), zap.Bool("never", o.notRun), zap.Int("send", c.sends),
-			zap.Bool("stopped", f.crashed(ctx, e, o)), zap.Stringer("fingerprint", c.fingerprint),
+			zap.Bool("stopped", crashed), zap.Stringer("fingerprint", c.content.Fingerprint),
 			zap.Duration("took", took), zap.Error(o.err))
 	}
 	return o
--- a/internal/supervisor/forwarder/quarantine.go
+++ b/internal/supervisor/forwarder/quarantine.go
@@ -1,46 +1,91 @@
 package forwarder
 
 import (
+	"context"
 	"maps"
 	"slices"
+	"sync"
 
 	"banyanquay/internal/mapper"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/supervisor/quarantiner"
 )
 
-// quarantined returns the refusal of a request that has a part in quarantine, and
-// whether it has one.
+// quarantined returns the refusal of a request that is in quarantine or has a part that
+// is, and whether it is so.
 func (f *Forwarder) quarantined(c *call) (refuser.Refusal, bool) {
-	part, remaining, held := f.cfg.Quarantine.Held(c.parts)
-	if !held {
+	key, remaining, held := f.cfg.Quarantine.Held(c.content)
+	switch {
+	case !held:
 		return refuser.Refusal{}, false
+	case key == c.content.Fingerprint.String():
+		return refuser.New(refuser.RequestQuarantined, "requests with fingerprint %s are in quarantine", key).WithWait(remaining), true
+	default:
+		return refuser.New(refuser.PartQuarantined, "part %s of the prompt is in quarantine", key).WithWait(remaining), true
 	}
-	return refuser.New(refuser.PartQuarantined, "part %s of the prompt is in quarantine", part).WithWait(remaining), true
 }
 
-// fingerprint returns a request's fingerprint. An organisation stays the same caller when
-// its key is replaced.
-func fingerprint(r Request, cfg *mapper.Configuration) quarantiner.Fingerprint {
+// content returns what a request may have in common with others. An organisation stays
+// the same caller when its key is replaced.
+func content(r Request, cfg *mapper.Configuration) quarantiner.Request {
 	caller := r.Key
 	if o, ok := cfg.Organisation(r.Key); ok {
 		caller = o.Name
 	}
-	return quarantiner.NewFingerprint(caller, r.Method, r.Host, r.Target, r.Body)
+	return quarantiner.Request{
+		Parts:       quarantiner.Parts(r.SharedParts),
+		Fingerprint: quarantiner.NewFingerprint(caller, r.Method, r.Host, r.Target, r.Body),
+	}
 }
 
 // recordCrash records that the first engine of an attempt had stopped before the
 // answer had enough events to show that its prompt was not the cause.
-func (f *Forwarder) recordCrash(c *call, state snapshot, answering bool) {
+func (f *Forwarder) recordCrash(c *call, state snapshot, broken brokenAttempt) {
 	if c.LastEventID != "" || state.events >= quarantiner.ProvenEvents {
 		return
 	}
-	f.cfg.Quarantine.RecordCrash(state.first().ID, c.parts, answering && state.events == 0)
+	f.cfg.Quarantine.RecordCrash(quarantiner.Crash{
+		Endpoint: state.first().ID, Request: c.content, Sent: broken.began, Answering: broken.answering && state.events == 0,
+	})
+}
+
+// plainAttempts are the attempts of requests to plain services that are in progress. It is
+// safe for concurrent use.
+type plainAttempts struct {
+	mu     sync.Mutex
+	cancel map[*call]context.CancelCauseFunc
 }
 
-// EndQuarantined ends the attempts of requests with a part in quarantine that have no
-// event yet, before they crash their engine, too.
+// begin adds a call's attempt. The returned function removes it.
+func (p *plainAttempts) begin(c *call, cancel context.CancelCauseFunc) (end func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cancel == nil {
+		p.cancel = make(map[*call]context.CancelCauseFunc)
+	}
+	p.cancel[c] = cancel
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(p.cancel, c)
+	}
+}
+
+// all returns the attempts.
+func (p *plainAttempts) all() map[*call]context.CancelCauseFunc {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return maps.Clone(p.cancel)
+}
+
+// EndQuarantined ends the attempts of requests in quarantine that have no answer or event
+// yet, before they crash their endpoint, too.
 func (f *Forwarder) EndQuarantined() {
+	for c, cancel := range f.plain.all() {
+		if _, held := f.quarantined(c); held {
+			cancel(errQuarantined)
+		}
+	}
 	f.monitor.mu.Lock()
 	sessions := slices.Collect(maps.Keys(f.monitor.sessions))
 	f.monitor.mu.Unlock()
--- a/internal/supervisor/forwarder/quarantine_test.go
+++ b/internal/supervisor/forwarder/quarantine_test.go
@@ -153,7 +153,7 @@
 func TestQuarantineEndsRequestsInProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		e, w := newCrashWorld(t)
-		w.f.cfg.Quarantine.RecordCrash("x1", quarantiner.Parts([]string{"fatal"}), true)
+		w.f.cfg.Quarantine.RecordCrash(quarantiner.Crash{Endpoint: "x1", Request: quarantiner.Request{Parts: quarantiner.Parts([]string{"fatal"})}, Answering: true})
 		time.Sleep(200 * time.Millisecond)
 		var code int
 		done := make(chan struct{})
@@ -162,7 +162,7 @@
 			code = w.sendParts(t.Context(), "f1", "fatal").Code
 		}()
 		time.Sleep(30 * time.Millisecond)
-		w.f.cfg.Quarantine.RecordCrash("x2", quarantiner.Parts([]string{"fatal"}), true)
+		w.f.cfg.Quarantine.RecordCrash(quarantiner.Crash{Endpoint: "x2", Request: quarantiner.Request{Parts: quarantiner.Parts([]string{"fatal"})}, Answering: true})
 		w.f.EndQuarantined()
 		<-done
 		if got, want := code, http.StatusBadGateway; got != want {
@@ -174,3 +174,97 @@
 		}
 	})
 }
+
+// crashingDesk are endpoints of a plain service that crash under requests for one path.
+type crashingDesk struct {
+	crashingEngines
+	// work is how long an endpoint works on a request.
+	work time.Duration
+}
+
+func (d *crashingDesk) relay() driver.Relay {
+	relay := d.crashingEngines.relay()
+	relay.Send = func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+		if d.down(address) {
+			return driver.Reply{}, &driver.Unsent{Err: syscall.ECONNREFUSED}
+		}
+		select {
+		case <-ctx.Done():
+			return driver.Reply{}, context.Cause(ctx)
+		case <-time.After(d.work):
+		}
+		if strings.HasSuffix(f.Target, "/fatal") {
+			d.mu.Lock()
+			d.downUntil[address] = time.Now().Add(3 * time.Second)
+			d.crashes++
+			d.mu.Unlock()
+		}
+		if d.down(address) {
+			return driver.Reply{}, syscall.ECONNRESET
+		}
+		return signedReply(200, "ok")(f)
+	}
+	return relay
+}
+
+func newDeskWorld(t *testing.T) (*crashingDesk, *harness) {
+	d := &crashingDesk{crashingEngines: crashingEngines{downUntil: make(map[string]time.Time)}, work: 60 * time.Millisecond}
+	entries := append(plainEntries(), registrar.Entry{ID: "d3", Service: "desk", Address: "d3:1", Centre: "a", Slots: 6})
+	return d, newHarness(t, d.relay(), entries...)
+}
+
+// Guards against a request to a plain service that crashes each endpoint it is sent to, and
+// is served as any other when its caller sends it again.
+func TestRepeatedRequestCrashesFewEndpoints(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, w := newDeskWorld(t)
+				path := map[string]string{http.MethodGet: pathGet, http.MethodPost: pathPut}[method]
+				for n := range 20 {
+					w.mu.Lock()
+					w.view.Confirmed = time.Now()
+					w.mu.Unlock()
+					a := w.send(t.Context(), method, path+"fatal", fmt.Sprint("f", n), "")
+					wait, _ := strconv.ParseFloat(a.Header().Get("Retry-After"), 64)
+					if a.Code == http.StatusServiceUnavailable && wait < 60 {
+						t.Errorf("Retry-After: got %v s, want the minutes until the request may be served", wait)
+					}
+					if a := w.send(t.Context(), http.MethodGet, pathGet+"1", fmt.Sprint("s", n), ""); a.Code != http.StatusOK {
+						t.Errorf("another request: got %d, want 200: one of three endpoints is up", a.Code)
+					}
+					time.Sleep(time.Second)
+				}
+				if got, want := d.crashes, 2; got != want {
+					t.Errorf("endpoints that crashed: got %d, want %d", got, want)
+				}
+			})
+		})
+	}
+}
+
+// A request in progress is ended when an equal one crashed a second endpoint.
+func TestQuarantineEndsPlainRequestsInProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, w := newDeskWorld(t)
+		fatal := content(Request{Method: http.MethodGet, Host: host, Target: pathGet + "fatal", Key: secret, Body: []byte{}}, w.view.Configuration)
+		w.f.cfg.Quarantine.RecordCrash(quarantiner.Crash{Endpoint: "x1", Request: fatal, Answering: true})
+		time.Sleep(200 * time.Millisecond)
+		var code int
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			code = w.send(t.Context(), http.MethodGet, pathGet+"fatal", "f1", "").Code
+		}()
+		time.Sleep(d.work / 2)
+		w.f.cfg.Quarantine.RecordCrash(quarantiner.Crash{Endpoint: "x2", Request: fatal, Answering: true})
+		w.f.EndQuarantined()
+		<-done
+		if got, want := code, http.StatusBadGateway; got != want {
+			t.Errorf("status: got %d, want %d: the request was sent", got, want)
+		}
+		if d.crashes != 0 {
+			t.Errorf("endpoints that crashed: got %d, want none", d.crashes)
+		}
+	})
+}
--- a/internal/supervisor/quarantiner/evidence.go
+++ b/internal/supervisor/quarantiner/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -20,18 +21,22 @@
 	threshold       = 2 * answeringWeight
 	provenThreshold = 3 * answeringWeight
 	// sameMoment is the time within which engines count as having crashed together, for
-	// a cause of their own.
+	// a cause of their own, unless the request was sent to the second one after the first
+	// had crashed. sentSlack is the tolerance of that: ages that nodes tell each other are
+	// inexact by the time on the way.
 	sameMoment = 100 * time.Millisecond
+	sentSlack  = 25 * time.Millisecond
 	// evidenceTTL is how long a crash counts.
 	evidenceTTL = time.Minute
-	// duplicateAge is the time within which a crash of an engine with the same parts
-	// is the same crash, told by another node.
+	// duplicateAge is the time within which a crash of an engine under the same request
+	// is the same crash, told by another node. Endpoints take longer to start again.
 	duplicateAge = 2 * time.Second
 	// maxEvidence bounds the crashes that are kept.
 	maxEvidence = 512
 )
 
-// Part identifies a part of a prompt: the hash of its ID.
+// Part identifies what requests have in common: the hash of the ID of a part of their
+// prompts, or their fingerprint.
 type Part uint64
 
 // evidence is one request that was in progress at an engine when that crashed. It is an
@@ -39,10 +44,14 @@
 type evidence struct {
 	engine string
 	at     time.Time
+	// sent is when the request was sent to the engine; zero if that is not known.
+	sent time.Time
 	// answering is set if the answer had begun without an event.
 	answering bool
 	// parts are the request's parts that other requests may have, too, in their order.
 	parts []Part
+	// fingerprint is 0 if it is not known.
+	fingerprint Part
 }
 
 // weight returns the weight of the evidence against each of its candidates.
@@ -55,12 +64,24 @@
 
 // same reports whether two pieces of evidence are of one crash and equal requests.
 func (e evidence) same(other evidence) bool {
-	return e.engine == other.engine && e.at.Sub(other.at).Abs() < duplicateAge && slices.Equal(e.parts, other.parts)
+	return e.engine == other.engine && e.at.Sub(other.at).Abs() < duplicateAge &&
+		e.fingerprint == other.fingerprint && slices.Equal(e.parts, other.parts)
 }
 
-// candidates returns the parts that may have caused the crash. Those with which an
-// answer was written after it are no candidates, and those with which one was written
-// before only if no other part is.
+// names reports whether the request has a part or is the one with that fingerprint.
+func (e evidence) names(p Part) bool {
+	return (p != 0 && e.fingerprint == p) || slices.Contains(e.parts, p)
+}
+
+// suspectsRequest reports whether the request itself may have caused the crash: it is known,
+// and no answer to an equal one was written since.
+func (e evidence) suspectsRequest(sound map[Part]time.Time) bool {
+	return e.fingerprint != 0 && !sound[e.fingerprint].After(e.at)
+}
+
+// candidates returns the parts of the prompt that may have caused the crash. Those with
+// which an answer was written after it are no candidates, and those with which one was
+// written before only if no other part is.
 func (e evidence) candidates(sound map[Part]time.Time) (parts []Part, proven bool) {
 	var fresh, known []Part
 	for _, p := range e.parts {
@@ -78,8 +99,12 @@
 	return known, len(known) > 0
 }
 
-// hasCandidate reports whether a part is among the candidates.
-func (e evidence) hasCandidate(p Part, sound map[Part]time.Time) bool {
+// suspects reports whether a part, or the request with that fingerprint, may have caused
+// the crash.
+func (e evidence) suspects(p Part, sound map[Part]time.Time) bool {
+	if e.fingerprint == p {
+		return e.suspectsRequest(sound)
+	}
 	parts, _ := e.candidates(sound)
 	return slices.Contains(parts, p)
 }
@@ -91,18 +116,22 @@
 	// weight.
 	lastCounted time.Time
 	lastWeight  int
-	engines     map[string]bool
-	proven      bool
+	// engines holds the last crash of each engine.
+	engines map[string]time.Time
+	proven  bool
 	// position is the part's highest position in a prompt. Parts of a higher one are
-	// shared by fewer requests.
+	// shared by fewer requests; a fingerprint has the highest one.
 	position int
 }
 
-// add counts a crash. Engines that crash at the same moment count as one.
+// add counts a crash. Engines that crash at the same moment count as one, and so do
+// reports of one engine within duplicateAge.
 func (s *suspicion) add(e evidence) {
 	weight := e.weight()
+	crashed, known := s.engines[e.engine]
+	together := e.at.Sub(s.lastCounted) < sameMoment && !e.sent.After(s.lastCounted.Add(-sentSlack))
 	switch {
-	case s.engines[e.engine], e.at.Sub(s.lastCounted) < sameMoment:
+	case known && e.at.Sub(crashed) < duplicateAge, together:
 		if weight > s.lastWeight {
 			s.points += weight - s.lastWeight
 			s.lastWeight = weight
@@ -111,7 +140,7 @@
 		s.points += weight
 		s.lastCounted, s.lastWeight = e.at, weight
 	}
-	s.engines[e.engine] = true
+	s.engines[e.engine] = e.at
 }
 
 // fatal reports whether the suspicion suffices.
@@ -122,9 +151,9 @@
 	return s.points >= threshold
 }
 
-// fatalParts returns the fewest parts that explain the crashes, given when an answer was
-// last written with each part. A crash that one part explains doesn't count against the
-// other parts of its request.
+// fatalParts returns the fewest parts and fingerprints that explain the crashes, given when
+// an answer was last written with each. A crash that one of them explains doesn't count
+// against the others of its request.
 func fatalParts(all []evidence, sound map[Part]time.Time) map[Part]bool {
 	remaining := slices.Clone(all)
 	slices.SortStableFunc(remaining, func(a, b evidence) int { return a.at.Compare(b.at) })
@@ -135,7 +164,7 @@
 			return found
 		}
 		found[p] = true
-		remaining = slices.DeleteFunc(remaining, func(e evidence) bool { return slices.Contains(e.parts, p) })
+		remaining = slices.DeleteFunc(remaining, func(e evidence) bool { return e.names(p) })
 	}
 }
 
@@ -143,16 +172,22 @@
 // one with enough against it.
 func mostSuspect(ordered []evidence, sound map[Part]time.Time) (Part, bool) {
 	suspicions := make(map[Part]*suspicion)
+	suspect := func(e evidence, p Part, position int, proven bool) {
+		s := suspicions[p]
+		if s == nil {
+			s = &suspicion{engines: make(map[string]time.Time), proven: proven}
+			suspicions[p] = s
+		}
+		s.add(e)
+		s.position = max(s.position, position)
+	}
 	for _, e := range ordered {
 		parts, proven := e.candidates(sound)
 		for _, p := range parts {
-			s := suspicions[p]
-			if s == nil {
-				s = &suspicion{engines: make(map[string]bool), proven: proven}
-				suspicions[p] = s
-			}
-			s.add(e)
-			s.position = max(s.position, slices.Index(e.parts, p))
+			suspect(e, p, slices.Index(e.parts, p), proven)
+		}
+		if e.suspectsRequest(sound) {
+			suspect(e, e.fingerprint, math.MaxInt, false)
 		}
 	}
 	maps.DeleteFunc(suspicions, func(_ Part, s *suspicion) bool { return !s.fatal() })
--- a/internal/supervisor/quarantiner/evidence_test.go
+++ b/internal/supervisor/quarantiner/evidence_test.go
@@ -16,6 +16,7 @@
 	fatal
 	other
 	another
+	request
 )
 
 // start is the time from which the tests count.
@@ -34,6 +35,18 @@
 	return evidence{engine: engine, at: at(ms), parts: parts}
 }
 
+// repeated returns evidence of an endpoint that crashed under a request without parts that
+// was sent to it at another time.
+func repeated(endpoint string, sent, ms int, fingerprint Part) evidence {
+	return evidence{engine: endpoint, at: at(ms), sent: at(sent), answering: true, fingerprint: fingerprint}
+}
+
+// requested returns evidence with a fingerprint.
+func requested(e evidence, fingerprint Part) evidence {
+	e.fingerprint = fingerprint
+	return e
+}
+
 func TestFatalParts(t *testing.T) {
 	cases := []struct {
 		name  string
@@ -98,6 +111,42 @@
 				crashed("e1", 0, shared, fatal), crashed("e2", 200, shared, fatal), crashed("e3", 400, shared, other), crashed("e4", 600, shared, other),
 			}, map[Part]time.Time{shared: at(-1)}, []Part{fatal, other},
 		},
+		{"a request under which one endpoint crashed", []evidence{repeated("e1", -50, 0, request)}, nil, nil},
+		{"a request that comes again", []evidence{repeated("e1", -50, 0, request), repeated("e2", 300, 350, request)}, nil, []Part{request}},
+		{"a request that is sent on after a crash", []evidence{repeated("e1", -50, 0, request), repeated("e2", 2, 60, request)}, nil, []Part{request}},
+		{"equal requests at endpoints that crash together", []evidence{repeated("e1", -50, 0, request), repeated("e2", -40, 20, request)}, nil, nil},
+		{
+			"two nodes tell of equal requests at one crash",
+			[]evidence{repeated("e1", -50, 0, request), repeated("e1", -500, 150, request)},
+			nil, nil,
+		},
+		{
+			"one endpoint, which starts again under its ID",
+			[]evidence{repeated("e1", -50, 0, request), repeated("e1", 4000, 4050, request)},
+			nil,
+			[]Part{request},
+		},
+		{
+			"a request that was answered in between",
+			[]evidence{repeated("e1", -50, 0, request), repeated("e2", 300, 350, request)},
+			map[Part]time.Time{request: at(200)},
+			nil,
+		},
+		{
+			"a request that is sent on, with a part that others may have",
+			[]evidence{requested(crashed("e1", 0, shared), request), requested(crashed("e2", 200, shared), request)},
+			nil,
+			[]Part{request},
+		},
+		{
+			"further requests with that part",
+			[]evidence{
+				requested(crashed("e1", 0, shared), request), requested(crashed("e2", 200, shared), request),
+				requested(crashed("e3", 400, shared), request+1),
+			},
+			nil,
+			[]Part{shared},
+		},
 	}
 	for _, c := range cases {
 		got := slices.Sorted(maps.Keys(fatalParts(c.all, c.sound)))
@@ -118,11 +167,11 @@
 			// Times differ, since the order of crashes at one moment is not defined.
 			all = append(all, evidence{
 				engine: fmt.Sprint("e", rapid.IntRange(0, 6).Draw(t, "engine")), at: at(n*60 + rapid.IntRange(0, 50).Draw(t, "at")),
-				answering: rapid.Bool().Draw(t, "answering"), parts: parts,
+				answering: rapid.Bool().Draw(t, "answering"), parts: parts, fingerprint: Part(rapid.IntRange(0, 3).Draw(t, "fingerprint") * 10),
 			})
 		}
 		sound := make(map[Part]time.Time)
-		for p := Part(1); p <= 5; p++ {
+		for _, p := range []Part{1, 2, 3, 4, 5, 10, 20, 30} {
 			if rapid.Bool().Draw(t, "sound") {
 				sound[p] = at(rapid.IntRange(-500, 1500).Draw(t, "soundAt"))
 			}
--- a/internal/supervisor/quarantiner/exchange.go
+++ b/internal/supervisor/quarantiner/exchange.go
@@ -26,6 +26,9 @@
 	Crashes []crash     `cbor:"1,keyasint,omitempty"`
 	Sound   []sound     `cbor:"2,keyasint,omitempty"`
 	Held    []heldUntil `cbor:"3,keyasint,omitempty"`
+	// Requests has the request of each of Crashes, in their order. Nodes of earlier builds
+	// neither send nor read it.
+	Requests []crashedRequest `cbor:"4,keyasint,omitempty"`
 }
 
 // crash is a piece of evidence.
@@ -37,7 +40,15 @@
 	Parts     []Part
 }
 
-// sound is a part with which an answer was written.
+// crashedRequest is the request of a piece of evidence.
+type crashedRequest struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint Part
+	// SentMillis is how long before the crash it was sent; negative if that is not known.
+	SentMillis int64
+}
+
+// sound is a part with which an answer was written, or a fingerprint to which one was.
 type sound struct {
 	_         struct{} `cbor:",toarray"`
 	Part      Part
@@ -74,7 +85,7 @@
 // newsOf returns evidence with what this node knows of its parts. The caller must hold mu.
 func (q *Quarantiner) newsOf(e evidence) news {
 	n := news{crashes: []evidence{e}}
-	for _, p := range e.parts {
+	for _, p := range append(slices.Clip(e.parts), e.fingerprint) {
 		if _, ok := q.sound[p]; ok {
 			n.sound = append(n.sound, p)
 		}
@@ -140,6 +151,11 @@
 		m.Crashes = append(m.Crashes, crash{
 			Engine: e.engine, AgeMillis: now.Sub(e.at).Milliseconds(), Answering: e.answering, Parts: e.parts,
 		})
+		sent := int64(-1)
+		if !e.sent.IsZero() {
+			sent = e.at.Sub(e.sent).Milliseconds()
+		}
+		m.Requests = append(m.Requests, crashedRequest{Fingerprint: e.fingerprint, SentMillis: sent})
 	}
 	for _, p := range n.sound {
 		if at, ok := q.sound[p]; ok {
@@ -184,12 +200,9 @@
 			fresh.sound = append(fresh.sound, s.Part)
 		}
 	}
-	for _, c := range m.Crashes {
-		if len(c.Parts) == 0 || len(c.Parts) > maxMessageParts || !plausible(c.AgeMillis) {
-			continue
-		}
-		e := evidence{engine: c.Engine, at: now.Add(-millis(c.AgeMillis)), answering: c.Answering, parts: c.Parts}
-		if !q.add(e) {
+	for i := range m.Crashes {
+		e, ok := m.evidence(i, now)
+		if !ok || !q.add(e) {
 			continue
 		}
 		n := q.newsOf(e)
@@ -208,6 +221,20 @@
 	return fresh
 }
 
+// evidence returns the evidence of one of the crashes, and whether it is valid.
+func (m message) evidence(i int, now time.Time) (evidence, bool) {
+	c := m.Crashes[i]
+	e := evidence{engine: c.Engine, at: now.Add(-millis(c.AgeMillis)), answering: c.Answering, parts: c.Parts}
+	if i < len(m.Requests) {
+		e.fingerprint = m.Requests[i].Fingerprint
+		if sent := m.Requests[i].SentMillis; plausible(sent) {
+			e.sent = e.at.Add(-millis(sent))
+		}
+	}
+	named := len(e.parts) > 0 || e.fingerprint != 0
+	return e, named && len(e.parts) <= maxMessageParts && plausible(c.AgeMillis)
+}
+
 // mergeSound records that an answer was written with a part elsewhere, and reports
 // whether that refutes evidence. The caller must hold mu.
 func (q *Quarantiner) mergeSound(p Part, at, now time.Time) bool {
--- a/internal/supervisor/quarantiner/fingerprint.go
+++ b/internal/supervisor/quarantiner/fingerprint.go
@@ -29,5 +29,13 @@
 	_, _ = d.Write(buf[:binary.PutUvarint(buf[:], uint64(n))])
 }
 
+// Request is what a request may have in common with others that crash their endpoint.
+type Request struct {
+	// Parts are the parts of its prompt that other requests may have, too, in their order.
+	// Requests to plain services have none.
+	Parts       []Part
+	Fingerprint Fingerprint
+}
+
 // String returns the fingerprint as it is named in records and logs.
 func (f Fingerprint) String() string { return Part(f).key() }
--- a/internal/supervisor/quarantiner/quarantiner.go
+++ b/internal/supervisor/quarantiner/quarantiner.go
@@ -1,8 +1,8 @@
-// Package quarantiner finds parts of prompts under which engines crash, and keeps
-// requests with such a part from reaching further engines. The nodes exchange which
-// requests were in progress at engines that crashed, and with which parts answers were
-// written, so that all of them reach the same decision; what is quarantined is also kept
-// in the platform's store, for nodes that start later.
+// Package quarantiner finds requests under which endpoints crash, and parts of prompts that
+// such requests have in common, and keeps them from reaching further endpoints. The nodes
+// exchange which requests were in progress at endpoints that crashed, and to what answers
+// were written, so that all of them reach the same decision; what is quarantined is also
+// kept in the platform's store, for nodes that start later.
 package quarantiner
 
 import (
@@ -81,9 +81,11 @@
 
 	mu       sync.Mutex
 	evidence []evidence
-	// sound holds when an answer was last written with a part.
+	// sound holds when an answer was last written with a part, or to a request that was
+	// suspected.
 	sound map[Part]time.Time
-	// holds keeps a part for a while after the end of its quarantine, for its count.
+	// holds keeps a part or fingerprint for a while after the end of its quarantine, for its
+	// count.
 	holds map[Part]hold
 	// era is the era of the store in which the records were written.
 	era uint64
@@ -120,16 +122,16 @@
 // key returns the part's name in records and logs.
 func (p Part) key() string { return fmt.Sprintf("%016x", uint64(p)) }
 
-// Held returns a part that is in quarantine and how much longer it is, and whether
-// there is one.
-func (q *Quarantiner) Held(parts []Part) (key string, remaining time.Duration, ok bool) {
+// Held returns which part of a request, or that its fingerprint is in quarantine, and how
+// much longer it is, and whether it is at all.
+func (q *Quarantiner) Held(r Request) (key string, remaining time.Duration, ok bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if len(q.holds) == 0 {
 		return "", 0, false
 	}
 	now := q.cfg.Now()
-	for _, p := range parts {
+	for _, p := range append(slices.Clip(r.Parts), Part(r.Fingerprint)) {
 		if h, found := q.holds[p]; found && now.Before(h.until) {
 			return p.key(), h.until.Sub(now), true
 		}
@@ -137,17 +139,27 @@
 	return "", 0, false
 }
 
-// RecordCrash records a request that was in progress at an engine when that crashed, and
-// that had fewer than ProvenEvents. answering is set if its answer had begun without an
-// event.
-func (q *Quarantiner) RecordCrash(engine string, parts []Part, answering bool) {
-	if len(parts) == 0 {
-		return
-	}
+// Crash is a request that was in progress at an endpoint when that crashed, and whose
+// answer had fewer than ProvenEvents.
+type Crash struct {
+	Endpoint string
+	Request  Request
+	// Sent is when the request was sent to the endpoint.
+	Sent time.Time
+	// Answering is set if the answer had begun without an event. Of plain services, whose
+	// answers begin when they are complete, all requests in progress count as such.
+	Answering bool
+}
+
+// RecordCrash records a crash.
+func (q *Quarantiner) RecordCrash(c Crash) {
 	q.update(func() bool {
-		e := evidence{engine: engine, at: q.cfg.Now(), answering: answering, parts: parts}
+		e := evidence{
+			engine: c.Endpoint, at: q.cfg.Now(), sent: c.Sent, answering: c.Answering,
+			parts: c.Request.Parts, fingerprint: Part(c.Request.Fingerprint),
+		}
 		added := q.add(e)
-		if added && (answering || q.worthTelling(e)) {
+		if added && (e.answering || q.worthTelling(e)) {
 			q.tell(q.newsOf(e), "")
 		}
 		return added
@@ -167,21 +179,26 @@
 	return q.waiting.AllowN(e.at, 1)
 }
 
-// RecordSound records that an answer was written with the given parts.
-func (q *Quarantiner) RecordSound(parts []Part) {
-	if len(parts) == 0 {
-		return
-	}
+// RecordSound records that an answer to a request was written. Its fingerprint is kept only
+// if there is evidence against it: nearly every request has another one.
+func (q *Quarantiner) RecordSound(r Request) {
 	q.update(func() (refuted bool) {
 		now := q.cfg.Now()
-		for _, p := range parts {
+		record := func(p Part, always bool) {
 			suspected := q.suspected(p)
+			if !suspected && !always {
+				return
+			}
 			q.sound[p] = now
 			if suspected {
 				q.tell(news{sound: []Part{p}}, "")
 				refuted = true
 			}
 		}
+		for _, p := range r.Parts {
+			record(p, true)
+		}
+		record(Part(r.Fingerprint), false)
 		q.pruneSound(now)
 		return refuted
 	})
@@ -202,12 +219,12 @@
 	}
 }
 
-// suspected reports whether there is evidence against a part that its last answer
-// doesn't refute. The caller must hold mu.
+// suspected reports whether there is evidence against a part or fingerprint that its last
+// answer doesn't refute. The caller must hold mu.
 func (q *Quarantiner) suspected(p Part) bool {
 	at, known := q.sound[p]
 	return slices.ContainsFunc(q.evidence, func(e evidence) bool {
-		return slices.Contains(e.parts, p) && (!known || at.Before(e.at))
+		return e.names(p) && (!known || at.Before(e.at))
 	})
 }
 
@@ -252,7 +269,7 @@
 	}
 	for p, h := range q.holds {
 		if slices.ContainsFunc(q.evidence, func(e evidence) bool {
-			return e.answering && !e.at.Before(h.until) && e.hasCandidate(p, q.sound)
+			return e.answering && !e.at.Before(h.until) && e.suspects(p, q.sound)
 		}) {
 			q.renew(p, time.Time{})
 		}
@@ -279,7 +296,7 @@
 func (q *Quarantiner) firstNamed(p Part) time.Time {
 	first := q.cfg.Now()
 	for _, e := range q.evidence {
-		if slices.Contains(e.parts, p) && e.at.Before(first) {
+		if e.names(p) && e.at.Before(first) {
 			first = e.at
 		}
 	}
@@ -301,7 +318,7 @@
 	q.held++
 	engines := make(map[string]bool)
 	for _, e := range q.evidence {
-		if slices.Contains(e.parts, p) {
+		if e.names(p) {
 			engines[e.engine] = true
 		}
 	}
--- a/internal/supervisor/quarantiner/quarantiner_test.go
+++ b/internal/supervisor/quarantiner/quarantiner_test.go
@@ -72,7 +72,7 @@
 // heldAt returns the nodes at which a part is in quarantine.
 func (n *network) heldAt(p Part) (nodes []int) {
 	for i, node := range n.nodes {
-		if _, _, ok := node.Held([]Part{p}); ok {
+		if _, _, ok := node.Held(Request{Parts: []Part{p}}); ok {
 			nodes = append(nodes, i)
 		}
 	}
@@ -83,12 +83,12 @@
 // node in the middle knows that answers were written with the other part.
 func TestNodesDecideTogether(t *testing.T) {
 	n := newNetwork(9)
-	n.nodes[4].RecordSound([]Part{shared})
+	n.nodes[4].RecordSound(Request{Parts: []Part{shared}})
 	n.clock.now = at(10)
-	n.nodes[0].RecordCrash("e1", []Part{fatal, shared}, true)
+	n.nodes[0].RecordCrash(Crash{Endpoint: "e1", Request: Request{Parts: []Part{fatal, shared}}, Answering: true})
 	n.exchange()
 	n.clock.now = at(300)
-	n.nodes[8].RecordCrash("e2", []Part{fatal, shared}, true)
+	n.nodes[8].RecordCrash(Crash{Endpoint: "e2", Request: Request{Parts: []Part{fatal, shared}}, Answering: true})
 	n.exchange()
 	if got, want := len(n.heldAt(fatal)), 9; got != want {
 		t.Errorf("nodes at which the fatal part is in quarantine: got %d, want %d", got, want)
@@ -98,6 +98,38 @@
 	}
 }
 
+// A request crashes endpoints of a plain service at nodes that are not linked; an answer to
+// an equal one, written while both are in progress, refutes that.
+func TestNodesFindARepeatedRequest(t *testing.T) {
+	n := newNetwork(9)
+	r := Request{Fingerprint: 7}
+	n.nodes[0].RecordCrash(Crash{Endpoint: "e1", Request: r, Sent: at(-50), Answering: true})
+	n.exchange()
+	n.clock.now = at(80)
+	n.nodes[8].RecordCrash(Crash{Endpoint: "e2", Request: r, Sent: at(10), Answering: true})
+	n.exchange()
+	if got, want := len(n.heldAt(7)), 9; got != want {
+		t.Errorf("nodes that refuse the request: got %d, want %d", got, want)
+	}
+	n.clock.now = at(100)
+	n.nodes[4].RecordSound(r)
+	n.exchange()
+	if got := n.heldAt(7); len(got) > 0 {
+		t.Errorf("after an answer the request is still refused at nodes %v", got)
+	}
+}
+
+// Answers to requests without any crash are not kept: nearly each has another fingerprint.
+func TestFingerprintsOfSoundRequestsAreNotKept(t *testing.T) {
+	q := newTest(&clock{now: start})
+	for n := range 100 {
+		q.RecordSound(Request{Fingerprint: Fingerprint(n + 1)})
+	}
+	if got := len(q.sound); got > 0 {
+		t.Errorf("fingerprints that are kept: got %d, want none", got)
+	}
+}
+
 // In a fleet of 195 nodes, each linked with eight, crashes seen at any two nodes reach all
 // within a few hops, and a crash of many engines at once makes little traffic.
 func TestLargeFleetDecidesTogether(t *testing.T) {
@@ -137,9 +169,9 @@
 		}
 		return len(all) > 0
 	}
-	n.nodes[3].RecordCrash("e1", []Part{shared, fatal}, true)
+	n.nodes[3].RecordCrash(Crash{Endpoint: "e1", Request: Request{Parts: []Part{shared, fatal}}, Answering: true})
 	n.clock.now = at(400)
-	n.nodes[150].RecordCrash("e2", []Part{shared, fatal}, true)
+	n.nodes[150].RecordCrash(Crash{Endpoint: "e2", Request: Request{Parts: []Part{shared, fatal}}, Answering: true})
 	hops := 0
 	for ; len(n.heldAt(fatal)) < size && hops < 50; hops++ {
 		hop()
@@ -153,7 +185,7 @@
 	n.clock.now = at(5000)
 	for node := range size {
 		for engine := range 40 {
-			n.nodes[node].RecordCrash(fmt.Sprint("engine-", engine), []Part{Part(1000 + node*40 + engine)}, false)
+			n.nodes[node].RecordCrash(Crash{Endpoint: fmt.Sprint("engine-", engine), Request: Request{Parts: []Part{Part(1000 + node*40 + engine)}}, Answering: false})
 		}
 	}
 	for hop() {
@@ -196,9 +228,9 @@
 // A node that starts later learns of the quarantine over its first link.
 func TestLaterNodeLearnsOfQuarantine(t *testing.T) {
 	n := newNetwork(2)
-	n.nodes[0].RecordCrash("e1", []Part{fatal}, true)
+	n.nodes[0].RecordCrash(Crash{Endpoint: "e1", Request: Request{Parts: []Part{fatal}}, Answering: true})
 	n.clock.now = at(300)
-	n.nodes[0].RecordCrash("e2", []Part{fatal}, true)
+	n.nodes[0].RecordCrash(Crash{Endpoint: "e2", Request: Request{Parts: []Part{fatal}}, Answering: true})
 	n.nodes = append(n.nodes, newTest(n.clock))
 	n.connect(1, 2)
 	n.exchange()
@@ -211,15 +243,15 @@
 func TestRefutedPartIsReleased(t *testing.T) {
 	c := &clock{now: start}
 	q := newTest(c)
-	q.RecordCrash("e1", []Part{fatal}, true)
+	q.RecordCrash(Crash{Endpoint: "e1", Request: Request{Parts: []Part{fatal}}, Answering: true})
 	c.now = at(300)
-	q.RecordCrash("e2", []Part{fatal}, true)
-	if _, _, ok := q.Held([]Part{fatal}); !ok {
+	q.RecordCrash(Crash{Endpoint: "e2", Request: Request{Parts: []Part{fatal}}, Answering: true})
+	if _, _, ok := q.Held(Request{Parts: []Part{fatal}}); !ok {
 		t.Fatal("the part is not in quarantine")
 	}
 	c.now = at(400)
-	q.RecordSound([]Part{fatal}) // a request that was sent before
-	if _, _, ok := q.Held([]Part{fatal}); ok {
+	q.RecordSound(Request{Parts: []Part{fatal}}) // a request that was sent before
+	if _, _, ok := q.Held(Request{Parts: []Part{fatal}}); ok {
 		t.Error("a part with which an answer was written since is still in quarantine")
 	}
 }
@@ -228,23 +260,23 @@
 func TestQuarantineEndsAndIsRenewed(t *testing.T) {
 	c := &clock{now: start}
 	q := newTest(c)
-	q.RecordCrash("e1", []Part{fatal}, true)
+	q.RecordCrash(Crash{Endpoint: "e1", Request: Request{Parts: []Part{fatal}}, Answering: true})
 	c.now = at(300)
-	q.RecordCrash("e2", []Part{fatal}, true)
+	q.RecordCrash(Crash{Endpoint: "e2", Request: Request{Parts: []Part{fatal}}, Answering: true})
 	for _, after := range []time.Duration{evidenceTTL - 100*time.Millisecond, evidenceTTL + time.Second} {
 		c.now = at(300).Add(after)
-		q.RecordCrash("e3", []Part{other}, true)
-		if _, _, ok := q.Held([]Part{fatal}); !ok {
+		q.RecordCrash(Crash{Endpoint: "e3", Request: Request{Parts: []Part{other}}, Answering: true})
+		if _, _, ok := q.Held(Request{Parts: []Part{fatal}}); !ok {
 			t.Errorf("the part is not in quarantine any more after %v", after)
 		}
 	}
 	c.now = at(300).Add(holdTime)
-	if _, _, ok := q.Held([]Part{fatal}); ok {
+	if _, _, ok := q.Held(Request{Parts: []Part{fatal}}); ok {
 		t.Errorf("the part is still in quarantine after %v", holdTime)
 	}
-	q.RecordCrash("e4", []Part{fatal}, true)
-	q.RecordCrash("e5", []Part{other}, true)
-	if _, remaining, ok := q.Held([]Part{fatal}); !ok || remaining != 2*holdTime {
+	q.RecordCrash(Crash{Endpoint: "e4", Request: Request{Parts: []Part{fatal}}, Answering: true})
+	q.RecordCrash(Crash{Endpoint: "e5", Request: Request{Parts: []Part{other}}, Answering: true})
+	if _, remaining, ok := q.Held(Request{Parts: []Part{fatal}}); !ok || remaining != 2*holdTime {
 		t.Errorf("after a further crash: got %v, %v, want true, %v", ok, remaining, 2*holdTime)
 	}
 }
@@ -263,9 +295,9 @@
 		records = append(records, provider.Item{Key: key, Value: value})
 		return 0, nil
 	}}
-	q.RecordCrash("e1", []Part{fatal}, true)
+	q.RecordCrash(Crash{Endpoint: "e1", Request: Request{Parts: []Part{fatal}}, Answering: true})
 	c.now = at(300)
-	q.RecordCrash("e2", []Part{fatal}, true)
+	q.RecordCrash(Crash{Endpoint: "e2", Request: Request{Parts: []Part{fatal}}, Answering: true})
 	q.write(t.Context())
 	if got := len(records); got != 0 {
 		t.Errorf("records before the others had time to object: got %d, want none", got)
@@ -289,7 +321,7 @@
 	held := 0
 	later.cfg.OnHold = func() { held++ }
 	later.HandleRecords(append([]provider.Item{{Key: "x", Value: []byte("y")}, {Key: "1", Value: []byte{0xff}}, {Key: "2"}}, records...))
-	if _, remaining, ok := later.Held([]Part{fatal}); !ok || remaining > holdTime || remaining < holdTime-5*time.Second {
+	if _, remaining, ok := later.Held(Request{Parts: []Part{fatal}}); !ok || remaining > holdTime || remaining < holdTime-5*time.Second {
 		t.Errorf("at a node that has read the store: got %v, %v, want true, about %v", ok, remaining, holdTime)
 	}
 	if got, want := held, 1; got != want {
@@ -300,7 +332,7 @@
 // Whatever a peer sends, no time it tells is taken beyond its limits, and nothing panics.
 func FuzzReceive(f *testing.F) {
 	n := newNetwork(2)
-	n.nodes[0].RecordCrash("e1", []Part{fatal, shared}, true)
+	n.nodes[0].RecordCrash(Crash{Endpoint: "e1", Request: Request{Parts: []Part{fatal, shared}}, Answering: true})
 	f.Add(n.nodes[0].flush(linker.Link{ID: "1"}))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		q := newTest(&clock{now: start})
@@ -329,16 +361,16 @@
 			node := n.nodes[rapid.IntRange(0, 3).Draw(t, "node")]
 			p := Part(rapid.IntRange(1, 3).Draw(t, "part"))
 			if rapid.Bool().Draw(t, "sound") {
-				node.RecordSound([]Part{p})
+				node.RecordSound(Request{Parts: []Part{p}})
 			} else {
-				node.RecordCrash(fmt.Sprint("e", step), []Part{p}, true)
+				node.RecordCrash(Crash{Endpoint: fmt.Sprint("e", step), Request: Request{Parts: []Part{p}}, Answering: true})
 			}
 			if rapid.Bool().Draw(t, "exchange") {
 				n.exchange()
 			}
 		}
 		n.clock.now = at(10000)
-		n.nodes[0].RecordSound([]Part{1})
+		n.nodes[0].RecordSound(Request{Parts: []Part{1}})
 		n.exchange()
 		for p := Part(1); p <= 3; p++ {
 			if got := n.heldAt(p); len(got) != 0 && len(got) != len(n.nodes) {
