--- a/cmd/banyanquayd/platform_test.go
+++ b/cmd/banyanquayd/platform_test.go
@@ -43,6 +43,8 @@
 	site  *imitator.Site
 	nodes []*fx.App
 	port  int
+	// partitions cut nodes off from all endpoints.
+	partitions [3]partition
 }
 
 // address returns the address of a node at an offset from the first port.
@@ -98,9 +100,11 @@
 
 func (f *fleet) startNode(t *testing.T, n int) *fx.App {
 	settings := f.settings(n)
+	p := newPlatform(settings, counter.New())
+	p.Relay = f.partitions[n].wrap(p.Relay)
 	app := supervisor.NewRelay(supervisor.RelayConfig{
 		Settings: settings, Logger: zap.NewNop(), Counters: counter.New(), Latencies: counter.NewLatencies(),
-		Platform: newPlatform(settings, counter.New()),
+		Platform: p,
 	})
 	if err := app.Start(t.Context()); err != nil {
 		t.Fatal(err)
