Call endpoints by way of other nodes where a node can't reach them

Cause: a node has its own connections only, and nothing compared what it reaches with what others reach. It took each endpoint for faulty in turn. The class: a local failure that is taken for one of the remote side.

Ruled out: faulty endpoints (other nodes reached them all the while); the retry budget, which gave most refusals their code, but not their cause: with a budget the sends fail as well.

Change: the detourer stands between the forwarder, the arranger and the calls to endpoints. A connection that is refused, or not open after 40 ms, lets it ask other nodes; if one reaches the endpoint, that node makes the call. It serves only what this node has not written a byte of. A stream whose own connection was lost restarts by way of another node, without a mark against the engine or the route's limit. It works for one endpoint as for all, and needs no state that nodes would have to agree on.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -16,8 +16,11 @@
 	Retries *expvar.Map `expvar:"banyanquay.retries"`
 	// Stages counts replaced stages by how their KV caches were rebuilt, and failed
 	// cache imports by what failed. With relay.enabled it counts stalls, changed paths,
-	// endpoints that became suspect (doubts) by reason, parts of prompts that were
-	// quarantined and released (parts_held, parts_released), endpoints that named and ended
+	// endpoints that became suspect (doubts) by reason, parts of prompts and requests
+	// that were quarantined and released (parts_held, parts_released), endpoints that only
+	// other nodes reach (endpoints_unreached), calls by way of other nodes (detours,
+	// detours_failed) and for them (detours_served), streams that restarted for want of a
+	// connection (reconnects), endpoints that named and ended
 	// a limit (limits_named, limits_ended), and checks for stalls that came
 	// late because this process was paused (late_ticks).
 	Stages *expvar.Map `expvar:"banyanquay.stages"`
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -144,8 +144,8 @@
 
 // Refused is the error of a request that the endpoint itself declared not run.
 type Refused struct {
-	Reason string `json:"reason"`
-	Detail string `json:"detail,omitempty"`
+	Reason string `json:"reason" cbor:"1,keyasint,omitempty"`
+	Detail string `json:"detail,omitempty" cbor:"2,keyasint,omitempty"`
 }
 
 // Error returns the reason and its detail.
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -63,33 +63,35 @@
 
 // Events of the fleet.
 const (
-	PeerUp            Event = iota + 500 // node joined
-	PeerSuspect                          // node suspected
-	PeerDown                             // node gone
-	PeerLeaving                          // node leaving the fleet
-	EndpointUp                           // endpoint up
-	EndpointDown                         // endpoint gone
-	EndpointLeaving                      // endpoint leaving
-	ListUnreachable                      // list of VMs unreachable
-	LinkUp                               // link up
-	LinkDown                             // link down
-	CentreUnreachable                    // data centre unreachable
-	CentreReachable                      // data centre reachable again
-	NodeResumed                          // node woke from a pause
-	ListReachable                        // list of VMs reachable again
-	ListBadRecord                        // record of a list ignored
-	StoreUnreachable                     // platform's store unreachable
-	StoreReachable                       // platform's store reachable again
-	HoldingsChanged                      // endpoint holds other layers
-	EndpointSuspect                      // endpoint doubted
-	StateFromPeer                        // learnt from another node what the store did not tell
-	EndpointSlow                         // endpoint slow
-	PartHeld                             // part of prompts quarantined
-	PartReleased                         // part of prompts released
-	LimitNamed                           // endpoint names a limit
-	LimitEnded                           // endpoint names no limit any more
-	EndpointBackoff                      // endpoint wants no requests for a while
-	StoreRestored                        // platform's store came back from an older copy
+	PeerUp             Event = iota + 500 // node joined
+	PeerSuspect                           // node suspected
+	PeerDown                              // node gone
+	PeerLeaving                           // node leaving the fleet
+	EndpointUp                            // endpoint up
+	EndpointDown                          // endpoint gone
+	EndpointLeaving                       // endpoint leaving
+	ListUnreachable                       // list of VMs unreachable
+	LinkUp                                // link up
+	LinkDown                              // link down
+	CentreUnreachable                     // data centre unreachable
+	CentreReachable                       // data centre reachable again
+	NodeResumed                           // node woke from a pause
+	ListReachable                         // list of VMs reachable again
+	ListBadRecord                         // record of a list ignored
+	StoreUnreachable                      // platform's store unreachable
+	StoreReachable                        // platform's store reachable again
+	HoldingsChanged                       // endpoint holds other layers
+	EndpointSuspect                       // endpoint doubted
+	StateFromPeer                         // learnt from another node what the store did not tell
+	EndpointSlow                          // endpoint slow
+	PartHeld                              // part of prompts quarantined
+	PartReleased                          // part of prompts released
+	LimitNamed                            // endpoint names a limit
+	LimitEnded                            // endpoint names no limit any more
+	EndpointBackoff                       // endpoint wants no requests for a while
+	StoreRestored                         // platform's store came back from an older copy
+	EndpointsUnreached                    // endpoints reached by way of other nodes
+	EndpointsReached                      // endpoints reached directly again
 )
 
 // Events of the placement.
--- /dev/null
+++ b/internal/supervisor/detourer/detourer.go
@@ -0,0 +1,430 @@
+// Package detourer calls endpoints by way of other nodes while this node can't reach them
+// itself. What tells a node that is cut off from endpoints that have ended is whether other
+// nodes reach them.
+package detourer
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/driver"
+	"banyanquay/internal/grouper"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/supervisor/linker"
+)
+
+const (
+	// connectPatience is how long a connection may take to open before other nodes are
+	// asked: some thirty times the round trip between data centres. probePatience is the
+	// same for a probe, which has little time.
+	connectPatience = 40 * time.Millisecond
+	probePatience   = 8 * time.Millisecond
+	// refusalPatience is how long a probe that was refused waits for what others find.
+	refusalPatience = 60 * time.Millisecond
+	// probeTimeout is how long an endpoint may take to accept a connection.
+	probeTimeout = 25 * time.Millisecond
+	// checkTimeout bounds the question to other nodes, and checkTTL is how long its result
+	// is reused: an endpoint that no node reaches has ended, as a rule.
+	checkTimeout = 200 * time.Millisecond
+	checkTTL     = time.Second
+	// controlTimeout bounds a call other than a request that is made by way of other nodes.
+	controlTimeout = time.Second
+	// firstAsked is the number of nodes that are asked first, and maxAsked that of all that
+	// are asked if this node seems to be cut off.
+	firstAsked = 3
+	maxAsked   = 16
+	// maxChecks bounds the checks that run at once: one suffices to find out that this node
+	// reaches no endpoint.
+	maxChecks = 6
+	// sampleSize is the number of endpoints that are probed to tell whether this node
+	// reaches any.
+	sampleSize = 3
+	// recheckInterval is the time between two probes for the end of a partition.
+	recheckInterval = 300 * time.Millisecond
+)
+
+// Config configures a Detourer. Its functions are safe for concurrent use.
+type Config struct {
+	// Direct calls endpoints over this node's own connections.
+	Direct driver.Relay
+	// Open sends a query to another node, as linker.OpenStream does.
+	Open func(ctx context.Context, node string, query []byte) (conn linker.Conn, sent bool, err error)
+	// Peers returns the other nodes in random order.
+	Peers func() []string
+	// Endpoints returns the addresses of all endpoints.
+	Endpoints func() []string
+	// Enter admits a call of another node, and reports whether this one makes it. The
+	// returned function is called when the call has ended.
+	Enter    func() (leave func(), ok bool)
+	Now      func() time.Time
+	Recorder *recorder.Recorder
+	Counters *counter.Set
+}
+
+// Detourer calls endpoints. It is safe for concurrent use.
+type Detourer struct {
+	cfg Config
+
+	mu sync.Mutex
+	// unreached holds the addresses that this node doesn't reach and others do, and cutOff
+	// is set while it reaches none at all.
+	unreached map[string]bool
+	cutOff    bool
+	// running has a capacity of maxChecks.
+	running chan struct{}
+	// helpers are the nodes that reached an endpoint when they were last asked.
+	helpers []string
+	// checks holds the last check of each address.
+	checks map[string]*check
+}
+
+// check finds out whether other nodes reach an endpoint that this one doesn't.
+type check struct {
+	began time.Time
+	// done is closed once it is known, and reached is set by then.
+	done    chan struct{}
+	reached atomic.Bool
+	settle  sync.Once
+	// sampled is closed once it is known whether this node reaches no other endpoint, either,
+	// and lone is set by then.
+	sampled chan struct{}
+	lone    atomic.Bool
+}
+
+// end ends the wait for the result.
+func (c *check) end(reached bool) {
+	c.settle.Do(func() {
+		c.reached.Store(reached)
+		close(c.done)
+	})
+}
+
+// New returns a Detourer that takes all endpoints for reachable.
+func New(cfg Config) *Detourer {
+	return &Detourer{
+		cfg: cfg, unreached: make(map[string]bool), checks: make(map[string]*check), running: make(chan struct{}, maxChecks),
+	}
+}
+
+// Relay returns the calls to endpoints, directly or by way of other nodes.
+func (d *Detourer) Relay() driver.Relay {
+	return driver.Relay{Send: d.send, Probe: d.probe, Report: d.report, Place: d.place, ChangePath: d.changePath, CutOff: d.avoids}
+}
+
+// avoids reports whether calls to an address are made by way of other nodes.
+func (d *Detourer) avoids(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cutOff || d.unreached[address]
+}
+
+func (d *Detourer) isCutOff() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.cutOff
+}
+
+// send sends a request to an endpoint.
+func (d *Detourer) send(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+	if d.avoids(address) {
+		reply, err := d.sendVia(ctx, address, f)
+		if !isUnsent(err) || ctx.Err() != nil {
+			return reply, err
+		}
+	}
+	reply, err := d.sendDirectly(ctx, address, f)
+	if !isUnsent(err) || ctx.Err() != nil || !d.await(ctx, d.check(address)) {
+		return reply, err
+	}
+	return d.sendVia(ctx, address, f)
+}
+
+// Stages of a connection.
+const (
+	opening int32 = iota
+	open
+	abandoned
+)
+
+// sendDirectly sends a request over a connection of this node. It gives up a connection that
+// is slow to open if other nodes reach the endpoint.
+func (d *Detourer) sendDirectly(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var stage atomic.Int32
+	f.OnConnect = func() {
+		if stage.CompareAndSwap(opening, open) {
+			d.noteReached(address)
+		}
+	}
+	patience := time.AfterFunc(connectPatience, func() {
+		if stage.Load() == opening && d.await(ctx, d.check(address)) && stage.CompareAndSwap(opening, abandoned) {
+			cancel()
+		}
+	})
+	reply, err := d.cfg.Direct.Send(ctx, address, f)
+	patience.Stop()
+	if err != nil {
+		cancel()
+		return reply, err
+	}
+	reply.Body = cancelledBody{ReadCloser: reply.Body, cancel: cancel}
+	return reply, nil
+}
+
+// probe opens a connection and closes it unused. An endpoint that other nodes reach counts as
+// accepting connections.
+func (d *Detourer) probe(ctx context.Context, address string) error {
+	if d.avoids(address) {
+		if _, err := d.control(ctx, request{Operation: probeOperation, Address: address}); !isUnsent(err) || errors.Is(err, syscall.ECONNREFUSED) {
+			return err
+		}
+	}
+	direct := make(chan error, 1)
+	go func() { direct <- d.cfg.Direct.Probe(ctx, address) }()
+	patience := time.NewTimer(probePatience)
+	defer patience.Stop()
+	select {
+	case err := <-direct:
+		if err == nil {
+			d.noteReached(address)
+			return nil
+		}
+		if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
+			return err
+		}
+		waitCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalPatience)
+		defer cancel()
+		if d.await(waitCtx, d.check(address)) {
+			return nil
+		}
+		return err
+	case <-patience.C:
+	}
+	c := d.check(address)
+	for {
+		select {
+		case err := <-direct:
+			if err == nil {
+				d.noteReached(address)
+			}
+			return err
+		case <-c.done:
+			if c.reached.Load() {
+				return nil
+			}
+			return <-direct
+		}
+	}
+}
+
+// report asks an engine for its state.
+func (d *Detourer) report(ctx context.Context, address, endpoint string) (driver.Report, error) {
+	if !d.avoids(address) {
+		return d.cfg.Direct.Report(ctx, address, endpoint)
+	}
+	m, err := d.control(ctx, request{Operation: reportOperation, Address: address, Endpoint: endpoint})
+	if err != nil || m.Report == nil {
+		return driver.Report{}, err
+	}
+	return *m.Report, nil
+}
+
+// place orders an engine to hold a range of layers.
+func (d *Detourer) place(ctx context.Context, address, endpoint string, p driver.Placement) error {
+	if !d.avoids(address) {
+		return d.cfg.Direct.Place(ctx, address, endpoint, p)
+	}
+	_, err := d.control(ctx, request{Operation: placeOperation, Address: address, Endpoint: endpoint, Placement: &p})
+	return err
+}
+
+// changePath asks an engine to change the path of a request in progress.
+func (d *Detourer) changePath(ctx context.Context, address, endpoint, stream string, path []driver.PathStage) error {
+	if !d.avoids(address) {
+		return d.cfg.Direct.ChangePath(ctx, address, endpoint, stream, path)
+	}
+	_, err := d.control(ctx, request{Operation: changePathOperation, Address: address, Endpoint: endpoint, Stream: stream, Path: path})
+	return err
+}
+
+// check returns a recent check of an address, or starts one.
+func (d *Detourer) check(address string) *check {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Now()
+	if c := d.checks[address]; c != nil && now.Sub(c.began) < checkTTL {
+		return c
+	}
+	c := &check{began: now, done: make(chan struct{}), sampled: make(chan struct{})}
+	d.checks[address] = c
+	go func() {
+		defer c.end(false)
+		select {
+		case d.running <- struct{}{}:
+			defer func() { <-d.running }()
+			d.cfg.Recorder.Guard("detour check", func() { d.runCheck(address, c) })
+		case <-c.done: // this node has turned out to be cut off
+		}
+	}()
+	return c
+}
+
+// await waits for a check and reports whether other nodes reach the endpoint.
+func (d *Detourer) await(ctx context.Context, c *check) bool {
+	select {
+	case <-c.done:
+		return c.reached.Load()
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// runCheck asks some other nodes whether they reach an endpoint, and more if this node
+// reaches no other endpoint, either. It then knows whether it is cut off.
+func (d *Detourer) runCheck(address string, c *check) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	peers := d.cfg.Peers()
+	if len(peers) == 0 {
+		return
+	}
+	go func() {
+		defer close(c.sampled)
+		c.lone.Store(!d.reachesAny(ctx, d.sample(address)))
+	}()
+	asked := min(len(peers), firstAsked)
+	d.ask(ctx, peers[:asked], address, c)
+	if <-c.sampled; c.lone.Load() {
+		d.ask(ctx, peers[asked:min(len(peers), maxAsked)], address, c)
+	}
+}
+
+// ask asks nodes whether they reach an endpoint.
+func (d *Detourer) ask(ctx context.Context, nodes []string, address string, c *check) {
+	var wg sync.WaitGroup
+	for _, node := range nodes {
+		wg.Go(func() {
+			if d.probeVia(ctx, node, address) != nil {
+				return
+			}
+			d.addHelper(node)
+			d.noteUnreached(address)
+			c.end(true)
+			if <-c.sampled; c.lone.Load() {
+				d.setCutOff(true)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// sample returns the addresses of some endpoints but for one.
+func (d *Detourer) sample(except string) []string {
+	all := slices.DeleteFunc(d.cfg.Endpoints(), func(a string) bool { return a == except })
+	shuffle(all)
+	return all[:min(len(all), sampleSize)]
+}
+
+// reachesAny reports whether any of some endpoints accepts a connection of this node.
+func (d *Detourer) reachesAny(ctx context.Context, addresses []string) bool {
+	return len(d.reached(ctx, addresses)) > 0
+}
+
+// reached returns the addresses that accept a connection of this node.
+func (d *Detourer) reached(ctx context.Context, addresses []string) []string {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	var all []string
+	for _, address := range addresses {
+		wg.Go(func() {
+			if d.cfg.Direct.Probe(ctx, address) == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				all = append(all, address)
+			}
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+// noteReached notes that this node reaches an endpoint.
+func (d *Detourer) noteReached(address string) {
+	d.mu.Lock()
+	delete(d.unreached, address)
+	d.mu.Unlock()
+	d.setCutOff(false)
+}
+
+// noteUnreached notes that other nodes reach an endpoint and this one doesn't.
+func (d *Detourer) noteUnreached(address string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.unreached[address] {
+		d.unreached[address] = true
+		d.cfg.Counters.Stages.Add("endpoints_unreached", 1)
+		d.cfg.Recorder.Info(recorder.EndpointsUnreached, zap.String("address", address), zap.Int("count", len(d.unreached)))
+	}
+}
+
+// setCutOff notes whether this node reaches no endpoint at all.
+func (d *Detourer) setCutOff(cutOff bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if cutOff == d.cutOff {
+		return
+	}
+	d.cutOff = cutOff
+	if cutOff {
+		for _, c := range d.checks {
+			c.end(true)
+		}
+		d.cfg.Recorder.Warn(recorder.EndpointsUnreached, zap.Bool("all", true), zap.Strings("helpers", d.helpers))
+	} else {
+		d.cfg.Recorder.Info(recorder.EndpointsReached, zap.Int("unreached", len(d.unreached)))
+	}
+}
+
+// Step finds out when endpoints can be reached again, until its context ends.
+func (d *Detourer) Step() grouper.Step {
+	return grouper.Step{Name: "detours", Run: func(ctx context.Context) error {
+		for grouper.Sleep(ctx, recheckInterval-rand.N(recheckInterval/10)) {
+			d.cfg.Recorder.Guard("detours", func() { d.recheck(ctx) })
+		}
+		return nil
+	}}
+}
+
+// recheck probes some of the endpoints that this node didn't reach.
+func (d *Detourer) recheck(ctx context.Context) {
+	endpoints := d.cfg.Endpoints()
+	d.mu.Lock()
+	cutOff := d.cutOff
+	maps.DeleteFunc(d.unreached, func(address string, _ bool) bool { return !slices.Contains(endpoints, address) })
+	maps.DeleteFunc(d.checks, func(_ string, c *check) bool { return d.cfg.Now().Sub(c.began) >= checkTTL })
+	candidates := slices.Collect(maps.Keys(d.unreached))
+	d.mu.Unlock()
+	if cutOff {
+		candidates = d.sample("")
+	}
+	shuffle(candidates)
+	for _, address := range d.reached(ctx, candidates[:min(len(candidates), sampleSize)]) {
+		d.noteReached(address)
+	}
+}
+
+func shuffle(all []string) {
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+}
--- /dev/null
+++ b/internal/supervisor/detourer/detourer_test.go
@@ -0,0 +1,345 @@
+package detourer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/driver"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/supervisor/linker"
+)
+
+// world is a few nodes and endpoints in memory.
+type world struct {
+	mu    sync.Mutex
+	nodes map[string]*Detourer
+	// refused holds the connections that are refused, as NODE>ADDRESS, and hanging those that
+	// are not answered.
+	refused map[string]bool
+	hanging map[string]bool
+	// arrivals lists the requests that arrived at endpoints, as NODE>ADDRESS ID.
+	arrivals []string
+	// answer is an endpoint's answer.
+	answer func(ctx context.Context) (driver.Reply, error)
+	// broken holds the nodes whose connections end after their first message, and gone those
+	// that can't be dialled.
+	broken map[string]bool
+	gone   map[string]bool
+}
+
+// endpoints are the addresses of the tests.
+var endpoints = []string{"e1:1", "e2:1", "e3:1", "e4:1"}
+
+func newWorld(names ...string) *world {
+	w := &world{
+		nodes: make(map[string]*Detourer), refused: make(map[string]bool), hanging: make(map[string]bool),
+		broken: make(map[string]bool), gone: make(map[string]bool),
+		answer: func(context.Context) (driver.Reply, error) {
+			return driver.Reply{Status: 200, Signed: true, Body: io.NopCloser(strings.NewReader("whole"))}, nil
+		},
+	}
+	for _, name := range names {
+		w.nodes[name] = New(Config{
+			Direct: w.direct(name), Open: w.open,
+			Peers: func() []string {
+				return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
+			},
+			Endpoints: func() []string { return slices.Clone(endpoints) },
+			Enter:     func() (func(), bool) { return func() {}, true },
+			Now:       time.Now, Recorder: recorder.Nop(), Counters: counter.New(),
+		})
+	}
+	return w
+}
+
+// cut disturbs the connections of a node to some endpoints, or restores them.
+func (w *world) cut(kind map[string]bool, node string, on bool, addresses ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, a := range addresses {
+		kind[node+">"+a] = on
+	}
+}
+
+// connect opens a connection of a node to an endpoint.
+func (w *world) connect(ctx context.Context, node, address string) error {
+	w.mu.Lock()
+	refused, hanging := w.refused[node+">"+address], w.hanging[node+">"+address]
+	w.mu.Unlock()
+	if refused {
+		return syscall.ECONNREFUSED
+	}
+	if hanging {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(250 * time.Millisecond):
+			return syscall.ETIMEDOUT
+		}
+	}
+	time.Sleep(time.Millisecond)
+	return nil
+}
+
+// direct returns a node's own calls.
+func (w *world) direct(node string) driver.Relay {
+	return driver.Relay{
+		Probe: func(ctx context.Context, address string) error { return w.connect(ctx, node, address) },
+		Send: func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+			if err := w.connect(ctx, node, address); err != nil {
+				return driver.Reply{}, &driver.Unsent{Err: err}
+			}
+			if f.OnConnect != nil {
+				f.OnConnect()
+			}
+			w.mu.Lock()
+			w.arrivals = append(w.arrivals, node+">"+address+" "+f.ID)
+			w.mu.Unlock()
+			return w.answer(ctx)
+		},
+		Report: func(ctx context.Context, address, _ string) (driver.Report, error) {
+			return driver.Report{Orders: 7}, w.connect(ctx, node, address)
+		},
+		Place: func(ctx context.Context, address, _ string, _ driver.Placement) error {
+			if err := w.connect(ctx, node, address); err != nil {
+				return err
+			}
+			return &driver.Refused{Reason: driver.ReasonFence}
+		},
+	}
+}
+
+// open opens a stream between two nodes.
+func (w *world) open(ctx context.Context, node string, query []byte) (linker.Conn, bool, error) {
+	time.Sleep(time.Millisecond)
+	w.mu.Lock()
+	gone, broken := w.gone[node], w.broken[node]
+	w.mu.Unlock()
+	if gone {
+		return linker.Conn{}, false, errors.New("no such node")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	messages := make(chan []byte, 8)
+	go func() {
+		defer close(messages)
+		w.nodes[node].Serve(ctx, query, func(data []byte) error {
+			select {
+			case messages <- data:
+			case <-ctx.Done():
+				return ctx.Err()
+			}
+			if broken {
+				cancel()
+			}
+			return ctx.Err()
+		})
+	}()
+	return linker.Conn{
+		Receive: func() ([]byte, error) {
+			data, ok := <-messages
+			if !ok {
+				return nil, io.ErrUnexpectedEOF
+			}
+			return data, nil
+		},
+		Close: cancel,
+	}, true, nil
+}
+
+// send sends a request at a node and returns the body of the answer.
+func (w *world) send(ctx context.Context, node, id string) (reply driver.Reply, body string, err error) {
+	reply, err = w.nodes[node].Relay().Send(ctx, endpoints[0], driver.Forward{ID: id})
+	if err != nil {
+		return reply, "", err
+	}
+	data, err := io.ReadAll(reply.Body)
+	_ = reply.Body.Close()
+	return reply, string(data), err
+}
+
+// Guards against a node that is cut off from endpoints and refuses what other nodes can
+// serve.
+func TestRequestsTakeADetour(t *testing.T) {
+	cases := []struct {
+		name string
+		kind func(w *world) map[string]bool
+		// first is how long the first request may take to be answered.
+		first time.Duration
+	}{
+		{"new connections are refused", func(w *world) map[string]bool { return w.refused }, 40 * time.Millisecond},
+		{"new connections hang", func(w *world) map[string]bool { return w.hanging }, 100 * time.Millisecond},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld("a", "b", "c", "d", "e")
+				w.cut(c.kind(w), "a", true, endpoints...)
+				w.cut(c.kind(w), "b", true, endpoints...)
+				began := time.Now()
+				for n, limit := range []time.Duration{c.first, 10 * time.Millisecond} {
+					at := time.Now()
+					reply, body, err := w.send(t.Context(), "a", fmt.Sprint("r", n))
+					if err != nil || body != "whole" || reply.Status != 200 || !reply.Signed || reply.Via == "" {
+						t.Errorf("request %d: got %+v, %q, %v, want the whole answer by way of another node", n, reply, body, err)
+					}
+					if got := time.Since(at); got > limit {
+						t.Errorf("request %d: answered after %v, want %v at most", n, got, limit)
+					}
+					time.Sleep(300 * time.Millisecond)
+				}
+				if got, want := len(w.arrivals), 2; got != want {
+					t.Errorf("arrivals: got %v, want one of each request", w.arrivals)
+				}
+				relay := w.nodes["a"].Relay()
+				if err := relay.Probe(t.Context(), endpoints[1]); err != nil {
+					t.Errorf("probe of another endpoint: got %v, want it to count as reachable", err)
+				}
+				if r, err := relay.Report(t.Context(), endpoints[1], ""); err != nil || r.Orders != 7 {
+					t.Errorf("report: got %+v, %v", r, err)
+				}
+				var refused *driver.Refused
+				if err := relay.Place(t.Context(), endpoints[1], "", driver.Placement{}); !errors.As(err, &refused) || refused.Reason != driver.ReasonFence {
+					t.Errorf("order: got %v, want the endpoint's refusal", err)
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				go func() { _ = w.nodes["a"].Step().Run(ctx) }()
+				w.cut(c.kind(w), "a", false, endpoints...)
+				time.Sleep(5 * recheckInterval)
+				if reply, _, err := w.send(t.Context(), "a", "last"); err != nil || reply.Via != "" {
+					t.Errorf("after the partition: got via %q, %v, want a direct answer", reply.Via, err)
+				}
+				cancel()
+				t.Logf("took %v", time.Since(began))
+			})
+		})
+	}
+}
+
+// An endpoint that has ended is reachable for no node; this node then doesn't take itself for
+// cut off.
+func TestEndedEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b", "c")
+		for node := range w.nodes {
+			w.cut(w.refused, node, true, endpoints[0])
+		}
+		_, _, err := w.send(t.Context(), "a", "r")
+		if !isUnsent(err) || !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("got %v, want that nothing was sent since the connection was refused", err)
+		}
+		if err := w.nodes["a"].Relay().Probe(t.Context(), endpoints[0]); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("probe: got %v, want a refused connection, which proves that the endpoint has stopped", err)
+		}
+		if w.nodes["a"].Relay().CutOff(endpoints[0]) {
+			t.Error("the node takes itself for cut off")
+		}
+	})
+}
+
+// A node that reaches some endpoints still calls these itself.
+func TestPartialPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b", "c")
+		w.cut(w.hanging, "a", true, endpoints[0])
+		if reply, _, err := w.send(t.Context(), "a", "r"); err != nil || reply.Via == "" {
+			t.Errorf("got via %q, %v, want an answer by way of another node", reply.Via, err)
+		}
+		relay := w.nodes["a"].Relay()
+		if !relay.CutOff(endpoints[0]) || relay.CutOff(endpoints[1]) {
+			t.Errorf("cut off: got %v and %v, want the first endpoint only", relay.CutOff(endpoints[0]), relay.CutOff(endpoints[1]))
+		}
+	})
+}
+
+// A request that an endpoint may have got is sent no second time, whoever sent it.
+func TestRequestThatMayHaveRunTakesNoDetour(t *testing.T) {
+	reset := func(context.Context) (driver.Reply, error) { return driver.Reply{}, syscall.ECONNRESET }
+	cases := []struct {
+		name    string
+		prepare func(w *world)
+	}{
+		{"the connection breaks", func(w *world) { w.answer = reset }},
+		{"the other node's connection breaks", func(w *world) {
+			w.answer = reset
+			w.cut(w.refused, "a", true, endpoints...)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld("a", "b", "c")
+				c.prepare(w)
+				if _, _, err := w.send(t.Context(), "a", "r"); err == nil || isUnsent(err) {
+					t.Errorf("got %v, want an error that doesn't rule out that the request ran", err)
+				}
+				if got, want := len(w.arrivals), 1; got != want {
+					t.Errorf("arrivals: got %v, want one", w.arrivals)
+				}
+			})
+		})
+	}
+}
+
+// An answer whose way breaks off is not complete, and nodes that can't help are left.
+func TestHelpersThatFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b", "c", "d")
+		w.cut(w.refused, "a", true, endpoints...)
+		if _, _, err := w.send(t.Context(), "a", "r1"); err != nil {
+			t.Fatal(err)
+		}
+		w.mu.Lock()
+		w.gone["b"], w.gone["c"] = true, true
+		w.mu.Unlock()
+		for n := range 5 {
+			if reply, body, err := w.send(t.Context(), "a", fmt.Sprint("r2", n)); err != nil || body != "whole" || reply.Via != "d" {
+				t.Errorf("with two of three nodes gone: got via %q, %q, %v, want the answer by way of the third", reply.Via, body, err)
+			}
+		}
+		w.mu.Lock()
+		w.broken["d"] = true
+		w.mu.Unlock()
+		if _, body, err := w.send(t.Context(), "a", "r3"); err == nil || isUnsent(err) {
+			t.Errorf("a way that breaks off: got %q, %v, want an error", body, err)
+		}
+	})
+}
+
+// The end of the caller ends the call of the other node.
+func TestCallerThatLeavesEndsTheDetour(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b")
+		w.cut(w.refused, "a", true, endpoints...)
+		ended := make(chan struct{})
+		w.answer = func(ctx context.Context) (driver.Reply, error) {
+			<-ctx.Done()
+			close(ended)
+			return driver.Reply{}, ctx.Err()
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+		defer cancel()
+		if _, _, err := w.send(ctx, "a", "r"); err == nil {
+			t.Error("got an answer, want none")
+		}
+		<-ended
+	})
+}
+
+// Whatever a node sends, nothing panics, and no call is made that it doesn't name.
+func FuzzServe(f *testing.F) {
+	f.Add([]byte{0xa0})
+	f.Fuzz(func(t *testing.T, query []byte) {
+		w := newWorld("a", "b")
+		w.nodes["a"].Serve(t.Context(), query, func([]byte) error { return nil })
+	})
+}
--- /dev/null
+++ b/internal/supervisor/detourer/message.go
@@ -0,0 +1,92 @@
+package detourer
+
+import (
+	"errors"
+	"syscall"
+
+	"github.com/gravitational/trace"
+
+	"banyanquay/internal/driver"
+)
+
+// operation selects the call that a node makes for another one; the numbers are the same
+// at all nodes.
+type operation uint8
+
+const (
+	sendOperation operation = iota + 1
+	probeOperation
+	reportOperation
+	placeOperation
+	changePathOperation
+)
+
+// request asks a node to make a call.
+type request struct {
+	Operation operation `cbor:"1,keyasint"`
+	Address   string    `cbor:"2,keyasint"`
+	// Endpoint is the ID of the endpoint that has to answer there.
+	Endpoint  string             `cbor:"3,keyasint,omitempty"`
+	Forward   *driver.Forward    `cbor:"4,keyasint,omitempty"`
+	Placement *driver.Placement  `cbor:"5,keyasint,omitempty"`
+	Stream    string             `cbor:"6,keyasint,omitempty"`
+	Path      []driver.PathStage `cbor:"7,keyasint,omitempty"`
+}
+
+// message is a part of the result of a call. The result of sendOperation is a reply, then
+// its body in any number of parts, and then End or a failure; that of any other one is a
+// single message.
+type message struct {
+	Reply   *driver.Reply  `cbor:"1,keyasint,omitempty"`
+	Data    []byte         `cbor:"2,keyasint,omitempty"`
+	End     bool           `cbor:"3,keyasint,omitempty"`
+	Report  *driver.Report `cbor:"4,keyasint,omitempty"`
+	Failure *failure       `cbor:"5,keyasint,omitempty"`
+}
+
+// failure is the error of a call.
+type failure struct {
+	Text string `cbor:"1,keyasint"`
+	// Unsent is set if the call failed before any byte of it was written to the endpoint.
+	Unsent  bool            `cbor:"2,keyasint,omitempty"`
+	Refused *driver.Refused `cbor:"3,keyasint,omitempty"`
+	// ConnectionRefused is set if the endpoint's host refuses connections.
+	ConnectionRefused bool `cbor:"4,keyasint,omitempty"`
+	// Unable is set if the node can't make calls for others now, such as when it reaches no
+	// endpoint itself or is stopping.
+	Unable bool `cbor:"5,keyasint,omitempty"`
+}
+
+// newFailure returns the failure for an error.
+func newFailure(err error) *failure {
+	f := &failure{Text: err.Error(), Unsent: isUnsent(err), ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED)}
+	var refused *driver.Refused
+	if errors.As(err, &refused) {
+		f.Refused = refused
+	}
+	return f
+}
+
+// unable is the failure of a call that the node doesn't make.
+func unable(reason string) *failure { return &failure{Text: reason, Unsent: true, Unable: true} }
+
+// err returns the failure as an error of the kind that the call itself would have had.
+func (f *failure) err() error {
+	if f.Refused != nil {
+		return f.Refused
+	}
+	err := trace.ConnectionProblem(nil, "%s", f.Text)
+	if f.ConnectionRefused {
+		err = trace.ConnectionProblem(syscall.ECONNREFUSED, "%s", f.Text)
+	}
+	if f.Unsent {
+		return &driver.Unsent{Err: err}
+	}
+	return err
+}
+
+// isUnsent reports whether a call failed before any byte of it was written.
+func isUnsent(err error) bool {
+	var unsent *driver.Unsent
+	return errors.As(err, &unsent)
+}
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -51,6 +51,7 @@
 // Causes with which the context of an attempt is cancelled.
 var (
 	errSilent      = trace.ConnectionProblem(nil, "no event for %v", maxSilence)
+	errCutOff      = trace.ConnectionProblem(nil, "this node lost its connection to the engine")
 	errStalled     = trace.ConnectionProblem(nil, "no progress")
 	errEnded       = trace.ConnectionProblem(nil, "the attempt ended")
 	errDeadline    = trace.LimitExceeded("the deadline of the request has passed")
@@ -202,6 +203,7 @@
 		return false, err
 	}
 	defer reply.Body.Close()
+	s.recordReply(reply)
 	f.learnLimits(path[0].ID, first.Born, reply, began)
 	if reply.NotRun {
 		return false, f.attemptRefused(c, s, reply, began)
@@ -232,10 +234,11 @@
 }
 
 // countRun counts an attempt that was sent as one that ran. It doesn't count
-// against the route's limit if its first engine has stopped.
-func (f *Forwarder) countRun(c *call, s *session, stopped bool) {
+// against the route's limit if its first engine was lost: it has stopped, or this node is
+// cut off from it.
+func (f *Forwarder) countRun(c *call, s *session, lost bool) {
 	c.runs++
-	if !stopped {
+	if !lost {
 		s.addRun()
 	}
 }
@@ -257,15 +260,16 @@
 	}
 	first := s.snapshot().first()
 	var unsent *driver.Unsent
-	stopped := false
+	stopped, cutOff := false, false
 	if !errors.As(broken.err, &unsent) {
 		stopped = f.prober.stopped(first.Address)
-		f.countRun(c, s, stopped)
+		cutOff = f.lostConnection(s.snapshot())
+		f.countRun(c, s, stopped || cutOff)
 	}
 	if stopped {
 		f.recordCrash(c, s.snapshot(), broken)
 	}
-	if !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) && !errors.Is(cause, errQuarantined) {
+	if !cutOff && !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) && !errors.Is(cause, errQuarantined) {
 		// A stall has been attributed to the endpoint at fault already.
 		f.markSuspect(first.ID, first.Address, failureBackoff, "failed")
 		f.assessor.Failed(first.ID)
@@ -275,7 +279,7 @@
 	f.cfg.Recorder.Info(recorder.AttemptFailed,
 		zap.String("request", c.ID), zap.Strings("path", addresses(state.path)), zap.Int("send", c.sends),
 		zap.Int("events", state.events), zap.Duration("took", f.cfg.Now().Sub(broken.began)),
-		zap.Bool("answering", broken.answering), zap.Bool("stopped", stopped), zap.Strings("prompt", c.SharedParts),
+		zap.Bool("answering", broken.answering), zap.Bool("stopped", stopped), zap.Bool("cut_off", cutOff), zap.Strings("prompt", c.SharedParts),
 		zap.Stringer("fingerprint", c.content.Fingerprint),
 		zap.NamedError("cause", cause), zap.Error(broken.err))
 }
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -195,7 +195,7 @@
 	switch {
 	case o.succeeded():
 		f.assessor.Succeeded(e.ID, took)
-	case errors.Is(context.Cause(ctx), errQuarantined):
+	case errors.Is(context.Cause(ctx), errQuarantined), f.cutOffFrom(e.Address):
 		// The endpoint is not at fault.
 	case c.r.Context().Err() == nil:
 		f.assessor.Failed(e.ID)
--- a/internal/supervisor/forwarder/rescue.go
+++ b/internal/supervisor/forwarder/rescue.go
@@ -20,6 +20,9 @@
 	silence := m.f.cfg.Now().Sub(state.lastProgress)
 	faulty := m.suspects(s, state, silence)
 	current := s.snapshot()
+	if len(faulty) == 0 && m.reconnect(s, current) {
+		return
+	}
 	if current.cancel == nil || (current.lastProgress != state.lastProgress && !m.anyStopped(current.path, faulty)) {
 		return // the stream ended or continued
 	}
@@ -36,6 +39,39 @@
 	m.move(s, current, faulty)
 }
 
+// helperStallTimeout is the silence after which a stream is sent again that arrives by way of
+// another node, if no engine is at fault.
+const helperStallTimeout = 300 * time.Millisecond
+
+// reconnect restarts a stream if it is silent since this node, or the one by way of which the
+// stream arrives, has lost the connection to the first engine. It reports whether it does.
+func (m *monitor) reconnect(s *session, state snapshot) bool {
+	silent := state.cancel != nil && m.f.cfg.Now().Sub(state.lastProgress) >= minStallTimeout
+	if !silent || !m.f.lostConnection(state) || !m.f.mayRestart(s.c, state) {
+		return false
+	}
+	m.f.cfg.Counters.Stages.Add("reconnects", 1)
+	m.f.cfg.Recorder.Info(recorder.StreamStalled,
+		zap.String("request", s.c.ID), zap.Strings("path", addresses(state.path)), zap.Bool("cut_off", true),
+		zap.Duration("silence", m.f.cfg.Now().Sub(state.lastProgress)), zap.Int("events", state.events))
+	state.cancel(errCutOff)
+	return true
+}
+
+// lostConnection reports whether the connection of an attempt to its first engine is lost,
+// though others reach the engine.
+func (f *Forwarder) lostConnection(state snapshot) bool {
+	if state.via != "" {
+		return f.cfg.Now().Sub(state.lastProgress) >= helperStallTimeout
+	}
+	return state.direct && f.cutOffFrom(state.first().Address)
+}
+
+// cutOffFrom reports whether other nodes reach an endpoint that this one doesn't.
+func (f *Forwarder) cutOffFrom(address string) bool {
+	return f.cfg.Relay.CutOff != nil && f.cfg.Relay.CutOff(address)
+}
+
 // onlySlow reports whether the engines at fault respond and are just slow.
 func (m *monitor) onlySlow(path []pathfinder.Stage, faulty []string) bool {
 	for _, p := range path {
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"banyanquay/internal/driver"
 	"banyanquay/internal/supervisor/forwarder/pathfinder"
 )
 
@@ -54,6 +55,10 @@
 	// runs counts the attempts that an engine started and that count against the
 	// route's limit.
 	runs int
+	// via is the node by way of which the attempt's first engine was called, and direct is
+	// set if it was called directly. Neither is set before its reply.
+	via    string
+	direct bool
 }
 
 // intervalWeight is the weight of a new interval in the smoothed one.
@@ -69,9 +74,17 @@
 		s.lastBeforeMove = s.lastProgress
 	}
 	s.cancel, s.attemptEvents, s.lastProgress, s.nextCheck, s.checks, s.attemptChecks, s.pathSuspected = cancel, 0, now, now, 0, 0, false
+	s.via, s.direct = "", false
 	s.setPath(path)
 }
 
+// recordReply records how the attempt's first engine was called.
+func (s *session) recordReply(reply driver.Reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.via, s.direct = reply.Via, reply.Via == ""
+}
+
 // setPath counts the load of a path as in progress, instead of that of the previous
 // one. The caller holds the lock.
 func (s *session) setPath(path []pathfinder.Stage) {
@@ -143,6 +156,8 @@
 	moves         int
 	attemptChecks int
 	runs          int
+	via           string
+	direct        bool
 }
 
 // snapshot returns the session's state.
@@ -152,6 +167,7 @@
 	return snapshot{
 		path: s.path, cancel: s.cancel, lastProgress: s.lastProgress, attemptEvents: s.attemptEvents, events: s.events,
 		interval: s.interval, longestPause: s.longestPause, moves: s.moves, attemptChecks: s.attemptChecks, runs: s.runs,
+		via: s.via, direct: s.direct,
 	}
 }
 
--- a/internal/supervisor/linker/dialler.go
+++ b/internal/supervisor/linker/dialler.go
@@ -159,9 +159,16 @@
 	}
 	defer l.running.Done()
 	peer, err := l.acceptHello(ctx, conn)
-	if err != nil || peer.isQuery() {
+	if err != nil {
 		return err
 	}
+	if handler := l.streams[peer.Subject]; handler != nil {
+		l.serveStream(ctx, conn, peer, handler)
+		return nil
+	}
+	if peer.isQuery() {
+		return nil
+	}
 	s, err := l.add(conn, peer, false)
 	if err != nil {
 		return err
@@ -170,7 +177,8 @@
 	return nil
 }
 
-// acceptHello receives the peer's hello message and replies to it.
+// acceptHello receives the peer's hello message and replies to it, unless it begins a
+// stream.
 func (l *Linker) acceptHello(ctx context.Context, conn Conn) (hello, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -187,9 +195,12 @@
 	if peer.Address == l.cfg.Address || peer.Address == "" {
 		return hello{}, trace.BadParameter("invalid peer address %q", peer.Address)
 	}
-	if peer.isQuery() {
+	switch {
+	case l.streams[peer.Subject] != nil:
+		return peer, nil
+	case peer.isQuery():
 		data, err = encoder.CBOR(l.answerQuery(peer))
-	} else {
+	default:
 		data, err = encoder.CBOR(l.hello())
 	}
 	if err != nil {
--- a/internal/supervisor/linker/linker.go
+++ b/internal/supervisor/linker/linker.go
@@ -51,14 +51,16 @@
 	Store
 	Lead
 	Permits
+	Detours
 )
 
 // Linker holds the links of one node.
 type Linker struct {
 	cfg Config
-	// topics and handlers are set before the step runs.
+	// topics, handlers and streams are set before the step runs.
 	topics   map[TopicID]Topic
 	handlers map[Subject]func(body []byte) ([]byte, error)
+	streams  map[Subject]StreamHandler
 
 	mu sync.Mutex
 	// ctx is set while the step runs.
@@ -86,6 +88,7 @@
 		cfg:      cfg,
 		topics:   make(map[TopicID]Topic),
 		handlers: make(map[Subject]func(body []byte) ([]byte, error)),
+		streams:  make(map[Subject]StreamHandler),
 		links:    make(map[string]*session),
 		diallers: make(map[string]context.CancelFunc),
 	}
--- a/internal/supervisor/parts.go
+++ b/internal/supervisor/parts.go
@@ -6,6 +6,7 @@
 	"banyanquay/internal/mapper"
 	"banyanquay/internal/supervisor/arranger"
 	"banyanquay/internal/supervisor/broadcaster"
+	"banyanquay/internal/supervisor/detourer"
 	"banyanquay/internal/supervisor/elector"
 	"banyanquay/internal/supervisor/forwarder/budgeter"
 	"banyanquay/internal/supervisor/forwarder/throttler"
@@ -29,6 +30,33 @@
 	})
 }
 
+// composeDetours creates the calls to endpoints by way of other nodes.
+func (r *relayNode) composeDetours() {
+	r.detourer = detourer.New(detourer.Config{
+		Direct: r.cfg.Platform.Relay, Peers: r.peers, Endpoints: r.endpointAddresses, Enter: r.enterDetour,
+		Now: r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
+		Open: func(ctx context.Context, node string, query []byte) (linker.Conn, bool, error) {
+			return r.linker.OpenStream(ctx, node, linker.Detours, query)
+		},
+	})
+	r.linker.HandleStream(linker.Detours, r.detourer.Serve)
+}
+
+// endpointAddresses returns the addresses of all endpoints.
+func (r *relayNode) endpointAddresses() []string {
+	var all []string
+	for _, e := range r.syncer.Table().All() {
+		all = append(all, e.Address)
+	}
+	return all
+}
+
+// enterDetour admits a call that this node makes for another one, unless it is stopping.
+func (r *relayNode) enterDetour() (leave func(), ok bool) {
+	leave, err := r.gate.Acquire()
+	return leave, err == nil && !r.gate.Leaving()
+}
+
 // composeBroadcaster creates the exchange of what the nodes know of endpoints.
 func (r *relayNode) composeBroadcaster() {
 	p := r.cfg.Platform
@@ -70,7 +98,7 @@
 
 // composePlacement creates the parts that assign layers to engines.
 func (r *relayNode) composePlacement() {
-	p := r.cfg.Platform
+	p, relay := r.cfg.Platform, r.detourer.Relay()
 	r.elector = elector.New(elector.Config{
 		Topics: p.Topics, Topic: p.LeadTopic, ReadRemote: r.readRemoteLead, Address: r.cfg.Settings.Address,
 		Incarnation: r.identity.incarnation, Alive: r.alive, Replaced: r.replaced, IsSuccessor: r.isSuccessor, IsCandidate: r.isCandidate,
@@ -80,7 +108,7 @@
 	r.linker.Handle(linker.Lead, r.elector.HandleQuery)
 	r.arranger = arranger.New(arranger.Config{
 		Configuration: func() *mapper.Configuration { return r.syncer.View().Configuration },
-		Endpoints:     r.syncer.Table, Report: p.Relay.Report, Place: p.Relay.Place,
+		Endpoints:     r.syncer.Table, Report: relay.Report, Place: relay.Place,
 		Pace:  func(id string) float64 { return r.forwarder.Pace(id) },
 		Leads: r.elector.Leads, Confirm: r.elector.Confirm, Fenced: r.elector.Fenced,
 		Now: r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -29,6 +29,7 @@
 	"banyanquay/internal/supervisor/announcer"
 	"banyanquay/internal/supervisor/arranger"
 	"banyanquay/internal/supervisor/broadcaster"
+	"banyanquay/internal/supervisor/detourer"
 	"banyanquay/internal/supervisor/elector"
 	"banyanquay/internal/supervisor/forwarder"
 	"banyanquay/internal/supervisor/forwarder/budgeter"
@@ -139,6 +140,7 @@
 	arranger    *arranger.Arranger
 	quarantiner *quarantiner.Quarantiner
 	throttler   *throttler.Throttler
+	detourer    *detourer.Detourer
 	forwarder   *forwarder.Forwarder
 	reloader    *reloader.Reloader
 }
@@ -190,6 +192,7 @@
 		Known: func() int { return len(r.tracker.Nodes()) }, Now: r.clock.Now, Recorder: r.recorder,
 	})
 	r.composeMembers()
+	r.composeDetours()
 	r.composePlacement()
 	r.composeBroadcaster()
 	r.composeProtection()
@@ -202,7 +205,7 @@
 		},
 	})
 	r.forwarder = forwarder.New(forwarder.Config{
-		Decode: p.DecodeRequest, View: r.syncer.View, Endpoints: r.syncer.Table, Ready: r.syncer.Ready, Relay: p.Relay,
+		Decode: p.DecodeRequest, View: r.syncer.View, Endpoints: r.syncer.Table, Ready: r.syncer.Ready, Relay: r.detourer.Relay(),
 		BufferBytes:        int64(bufferMemoryRatio * float64(s.Relay.MemoryMB) * (1 << 20)),
 		Budget:             r.budget,
 		Quarantine:         r.quarantiner,
@@ -226,7 +229,7 @@
 	return grouper.Group(
 		"node",
 		grouper.Group("edge", r.serverSteps()...),
-		grouper.Group("flow", r.forwarder.Step()),
+		grouper.Group("flow", r.forwarder.Step(), r.detourer.Step()),
 		grouper.Group("store", r.syncer.Step(), r.announcer.Step(), r.quarantiner.Step()),
 		grouper.Group("settings", r.reloader.Step(),
 			summarizer.Step(summarizer.Config{Latencies: r.cfg.Latencies, Recorder: r.recorder})),
