Draw on the retry budget only for requests that may have reached an endpoint

What callers saw: in the first moments of a partition, and when endpoints had just ended, requests were refused with 3004 after one send that had failed to connect, though others of the endpoints would have taken them. The budget limits what endpoints get beyond each request's first arrival; a send that wrote nothing is no arrival. It is limited by the number of sends as before.

TestUnsentRequestsDrawNoRetries failed for both kinds of service (503 in place of 200 without a retry left).

--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -189,6 +189,9 @@
 	// may have started to run.
 	sends int
 	runs  int
+	// arrived is set once an endpoint may have got the request. Only further sends draw on
+	// the retry budget.
+	arrived bool
 	// failure is the last reply of an engine that ran the request and failed.
 	failure *failure
 	// releases return the memory of the answers that were buffered for the request.
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -69,7 +69,7 @@
 			f.failGeneration(c, s, f.generationRefusal(c, r, lastErr))
 			return
 		}
-		if c.sends > 0 && !f.takeRetry(c) {
+		if c.arrived && !f.takeRetry(c) {
 			f.failGeneration(c, s, f.generationRefusal(c, refuser.New(refuser.RetryBudgetSpent, "the retry budget is spent").WithWait(budgetRetryDelay()), lastErr))
 			return
 		}
@@ -198,6 +198,8 @@
 	fw.Path, fw.Version = toDriverStages(path), s.version
 	first, _ := f.cfg.Endpoints().Get(path[0].ID)
 	reply, err := f.cfg.Relay.Send(ctx, path[0].Address, fw)
+	var unsent *driver.Unsent
+	c.arrived = c.arrived || !errors.As(err, &unsent)
 	if err != nil {
 		f.attemptBroken(ctx, c, s, brokenAttempt{err: err, began: began})
 		return false, err
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -85,7 +85,7 @@
 		if !ok {
 			break
 		}
-		if c.sends > 0 && !f.cfg.Budget.TakeRetry(c.service, false) {
+		if c.arrived && !f.cfg.Budget.TakeRetry(c.service, false) {
 			f.cfg.Counters.Retries.Add("budget_spent", 1)
 			break
 		}
@@ -235,8 +235,11 @@
 	reply, err := f.cfg.Relay.Send(ctx, e.Address, f.forward(c, e.ID))
 	if err != nil {
 		var unsent *driver.Unsent
-		return outcome{err: err, notRun: errors.As(err, &unsent)}
+		notSent := errors.As(err, &unsent)
+		c.arrived = c.arrived || !notSent
+		return outcome{err: err, notRun: notSent}
 	}
+	c.arrived = true
 	defer reply.Body.Close()
 	f.learnLimits(e.ID, e.Born, reply, began)
 	body, release, err := f.buffers.ReadAll(reply.Body, maxAnswerBytes)
--- a/internal/supervisor/forwarder/plain_test.go
+++ b/internal/supervisor/forwarder/plain_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"banyanquay/internal/driver"
+	"banyanquay/internal/registrar"
 )
 
 // script is an endpoint's behaviour for one request.
@@ -111,6 +112,41 @@
 	}
 }
 
+// Guards against requests that are refused for want of a retry though no endpoint has got
+// them yet.
+func TestUnsentRequestsDrawNoRetries(t *testing.T) {
+	cases := []struct {
+		name  string
+		path  string
+		first script
+		want  int
+	}{
+		{"a plain service, not sent", pathPut, unreachable, http.StatusOK},
+		{"a plain service, refused by the endpoint", pathPut, unsignedReply(503, true), http.StatusServiceUnavailable},
+		{"a stream, not sent", pathLLM, unreachable, http.StatusOK},
+		{"a stream, refused by the engine", pathLLM, unsignedReply(503, true), http.StatusServiceUnavailable},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var sent []driver.Forward
+				entries := plainEntries()
+				for _, id := range []string{"e1", "e2"} {
+					entries = append(entries, registrar.Entry{
+						ID: id, Service: "llm", Address: id + ":1", Centre: "a", Accelerator: "l4", Model: "m", Version: "1", First: 0, Last: 80, Slots: 192,
+					})
+				}
+				w := newHarness(t, scriptedRelay(&sent, c.first, signedReply(200, "id: 1\ndata: x\n\n")), entries...)
+				w.retrySlack = 0
+				a := w.send(t.Context(), "POST", c.path+"1", "r1", "800,200")
+				if got, want := a.Code, c.want; got != want {
+					t.Errorf("status without a retry left: got %d, want %d, %s", got, want, a.Body)
+				}
+			})
+		})
+	}
+}
+
 func TestRefusalsHaveRetryAfter(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var sent []driver.Forward
