--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -235,11 +235,10 @@
 }
 
 // countRun counts an attempt that was sent as one that ran. It doesn't count
-// against the route's limit if its first engine was lost: it has stopped, or this node is
-// cut off from it.
-func (f *Forwarder) countRun(c *call, s *session, lost bool) {
+// against the route's limit if its first engine has stopped.
+func (f *Forwarder) countRun(c *call, s *session, stopped bool) {
 	c.runs++
-	if !lost {
+	if !stopped {
 		s.addRun()
 	}
 }
@@ -267,7 +266,7 @@
 		// Asked after the probe, which finds out whether this node is cut off.
 		cutOff = errors.Is(cause, errCutOff) || (!s.snapshot().detoured && f.cutOffFrom(first.Address))
 		stopped = stopped && !cutOff
-		f.countRun(c, s, stopped || cutOff)
+		f.countRun(c, s, stopped)
 	}
 	if stopped {
 		f.recordCrash(c, s.snapshot(), broken)
--- a/internal/supervisor/forwarder/move.go
+++ b/internal/supervisor/forwarder/move.go
@@ -55,9 +55,9 @@
 	if !c.route.Resumable {
 		return false // an engine may have started the request
 	}
-	// The attempt in progress counts unless its first engine was lost.
+	// The attempt in progress counts unless its first engine has stopped.
 	runs := state.runs + 1
-	if f.lostConnection(state) || f.prober.stopped(state.first().Address) {
+	if f.prober.stopped(state.first().Address) {
 		runs--
 	}
 	return runs < c.route.Attempts && f.cfg.Budget.CanRetry(c.service, state.events > 0)
