Take no slow connection for a partition

A connection now counts only if it is refused, doesn't open within the probe's time or 40 ms, and this process was not paused meanwhile; asking others begins as early as before.

TestPausedNodeIsNotCutOff and TestSlowConnectionIsNoPartition failed before.

--- a/internal/supervisor/detourer/detourer.go
+++ b/internal/supervisor/detourer/detourer.go
@@ -63,6 +63,9 @@
 	Peers func() []string
 	// Endpoints returns the addresses of all endpoints.
 	Endpoints func() []string
+	// PausedSince reports whether this process was paused after the given time. A connection
+	// that doesn't open in time then says nothing; nil means that it never is.
+	PausedSince func(since time.Time) bool
 	// Enter admits a call of another node, and reports whether this one makes it. The
 	// returned function is called when the call has ended.
 	Enter    func() (leave func(), ok bool)
@@ -111,6 +114,9 @@
 
 // New returns a Detourer that takes all endpoints for reachable.
 func New(cfg Config) *Detourer {
+	if cfg.PausedSince == nil {
+		cfg.PausedSince = func(time.Time) bool { return false }
+	}
 	return &Detourer{
 		cfg: cfg, unreached: make(map[string]bool), checks: make(map[string]*check), running: make(chan struct{}, maxChecks),
 	}
@@ -146,6 +152,7 @@
 	if !isUnsent(err) || ctx.Err() != nil || !d.await(ctx, d.check(address)) {
 		return reply, err
 	}
+	d.noteUnreached(address)
 	return d.sendVia(ctx, address, f)
 }
 
@@ -166,8 +173,10 @@
 			d.noteReached(address)
 		}
 	}
+	began := d.cfg.Now()
 	patience := time.AfterFunc(connectPatience, func() {
-		if stage.Load() == opening && d.await(ctx, d.check(address)) && stage.CompareAndSwap(opening, abandoned) {
+		late := stage.Load() == opening && d.await(ctx, d.check(address)) && !d.cfg.PausedSince(began)
+		if late && stage.CompareAndSwap(opening, abandoned) {
 			cancel()
 		}
 	})
@@ -189,42 +198,30 @@
 			return err
 		}
 	}
-	direct := make(chan error, 1)
-	go func() { direct <- d.cfg.Direct.Probe(ctx, address) }()
-	patience := time.NewTimer(probePatience)
+	began := d.cfg.Now()
+	patience := time.AfterFunc(probePatience, func() { d.check(address) })
 	defer patience.Stop()
-	select {
-	case err := <-direct:
-		if err == nil {
-			d.noteReached(address)
-			return nil
-		}
-		if !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, syscall.ECONNRESET) {
-			return err
-		}
-		waitCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalPatience)
-		defer cancel()
-		if d.await(waitCtx, d.check(address)) {
-			return nil
-		}
+	err := d.cfg.Direct.Probe(ctx, address)
+	if err == nil {
+		d.noteReached(address)
+		return nil
+	}
+	refused := errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	if !refused && d.cfg.PausedSince(began) {
 		return err
-	case <-patience.C:
 	}
-	c := d.check(address)
-	for {
-		select {
-		case err := <-direct:
-			if err == nil {
-				d.noteReached(address)
-			}
-			return err
-		case <-c.done:
-			if c.reached.Load() {
-				return nil
-			}
-			return <-direct
-		}
+	// A probe that ends without an answer has used up its time.
+	wait := time.Duration(0)
+	if refused {
+		wait = refusalPatience
 	}
+	waitCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait)
+	defer cancel()
+	if !d.await(waitCtx, d.check(address)) {
+		return err
+	}
+	d.noteUnreached(address)
+	return nil
 }
 
 // report asks an engine for its state.
@@ -281,6 +278,11 @@
 
 // await waits for a check and reports whether other nodes reach the endpoint.
 func (d *Detourer) await(ctx context.Context, c *check) bool {
+	select {
+	case <-c.done:
+		return c.reached.Load()
+	default:
+	}
 	select {
 	case <-c.done:
 		return c.reached.Load()
@@ -300,7 +302,8 @@
 	}
 	go func() {
 		defer close(c.sampled)
-		c.lone.Store(!d.reachesAny(ctx, d.sample(address)))
+		none := !d.reachesAny(ctx, d.sample(address))
+		c.lone.Store(none && !d.cfg.PausedSince(c.began))
 	}()
 	asked := min(len(peers), firstAsked)
 	d.ask(ctx, peers[:asked], address, c)
@@ -318,7 +321,6 @@
 				return
 			}
 			d.addHelper(node)
-			d.noteUnreached(address)
 			c.end(true)
 			if <-c.sampled; c.lone.Load() {
 				d.setCutOff(true)
--- a/internal/supervisor/detourer/detourer_test.go
+++ b/internal/supervisor/detourer/detourer_test.go
@@ -259,6 +259,45 @@
 	})
 }
 
+// Guards against a node that was paused, finds its connections late and takes itself for cut
+// off.
+func TestPausedNodeIsNotCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b", "c")
+		w.cut(w.hanging, "a", true, endpoints...)
+		w.nodes["a"].cfg.PausedSince = func(time.Time) bool { return true }
+		relay := w.nodes["a"].Relay()
+		ctx, cancel := context.WithTimeout(t.Context(), probeTimeout)
+		defer cancel()
+		if err := relay.Probe(ctx, endpoints[0]); err == nil {
+			t.Error("probe: got a connection, want none in time")
+		}
+		time.Sleep(checkTimeout)
+		if relay.CutOff(endpoints[0]) || relay.CutOff(endpoints[1]) {
+			t.Error("the node takes itself for cut off")
+		}
+	})
+}
+
+// A connection that opens while others are asked is used, and nothing is held against it.
+func TestSlowConnectionIsNoPartition(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b", "c")
+		relay := w.nodes["a"].Relay()
+		w.nodes["a"].cfg.Direct.Probe = func(context.Context, string) error {
+			time.Sleep(2 * probePatience)
+			return nil
+		}
+		if err := relay.Probe(t.Context(), endpoints[0]); err != nil {
+			t.Errorf("probe: got %v, want a connection", err)
+		}
+		time.Sleep(checkTimeout)
+		if relay.CutOff(endpoints[0]) {
+			t.Error("the node takes itself for cut off")
+		}
+	})
+}
+
 // A request that an endpoint may have got is sent no second time, whoever sent it.
 func TestRequestThatMayHaveRunTakesNoDetour(t *testing.T) {
 	reset := func(context.Context) (driver.Reply, error) { return driver.Reply{}, syscall.ECONNRESET }
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -138,6 +138,9 @@
 // Loads returns this node's tokens in progress by endpoint.
 func (f *Forwarder) Loads() map[string]int { return f.assessor.Tokens() }
 
+// PausedSince reports whether this process has been paused after the given time.
+func (f *Forwarder) PausedSince(since time.Time) bool { return f.monitor.pausedSince(since) }
+
 // HandleUnreachable handles another node's report that an endpoint is unreachable:
 // this node probes the endpoint, too, and suspects it if the probe fails.
 func (f *Forwarder) HandleUnreachable(id string) {
--- a/internal/supervisor/parts.go
+++ b/internal/supervisor/parts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"banyanquay/internal/mapper"
 	"banyanquay/internal/supervisor/arranger"
@@ -34,7 +35,8 @@
 func (r *relayNode) composeDetours() {
 	r.detourer = detourer.New(detourer.Config{
 		Direct: r.cfg.Platform.Relay, Peers: r.peers, Endpoints: r.endpointAddresses, Enter: r.enterDetour,
-		Now: r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
+		PausedSince: func(since time.Time) bool { return r.forwarder.PausedSince(since) },
+		Now:         r.clock.Now, Recorder: r.recorder, Counters: r.cfg.Counters,
 		Open: func(ctx context.Context, node string, query []byte) (linker.Conn, bool, error) {
 			return r.linker.OpenStream(ctx, node, linker.Detours, query)
 		},
