Find repeated requests that crash engines before their answer begins

A crash before the head of an answer counted half against the request's fingerprint, and nodes told each other of it only if a part of its prompt was not known to be sound. A request with sound parts that comes to any node would have crashed four engines at one node before that node refused it. Three such crashes anywhere suffice now.

--- a/internal/supervisor/quarantiner/evidence.go
+++ b/internal/supervisor/quarantiner/evidence.go
@@ -13,8 +13,11 @@
 	// without an event, and waitingWeight that for any other request that had fewer than
 	// ProvenEvents. Of the requests at an engine, few are in the former state at any
 	// moment.
-	answeringWeight = 2
-	waitingWeight   = 1
+	answeringWeight = 6
+	waitingWeight   = 3
+	// repeatWeight replaces waitingWeight for a fingerprint: three such crashes suffice, as a
+	// request that was at an engine by chance is rarely at two more.
+	repeatWeight = 4
 	// threshold is the weight from which a part counts as fatal: two engines that crashed
 	// while they began to answer. A part with which answers were written before the
 	// crashes takes provenThreshold.
@@ -126,8 +129,7 @@
 
 // add counts a crash. Engines that crash at the same moment count as one, and so do
 // reports of one engine within duplicateAge.
-func (s *suspicion) add(e evidence) {
-	weight := e.weight()
+func (s *suspicion) add(e evidence, weight int) {
 	crashed, known := s.engines[e.engine]
 	together := e.at.Sub(s.lastCounted) < sameMoment && !e.sent.After(s.lastCounted.Add(-sentSlack))
 	switch {
@@ -172,22 +174,22 @@
 // one with enough against it.
 func mostSuspect(ordered []evidence, sound map[Part]time.Time) (Part, bool) {
 	suspicions := make(map[Part]*suspicion)
-	suspect := func(e evidence, p Part, position int, proven bool) {
+	suspect := func(e evidence, p Part, weight, position int, proven bool) {
 		s := suspicions[p]
 		if s == nil {
 			s = &suspicion{engines: make(map[string]time.Time), proven: proven}
 			suspicions[p] = s
 		}
-		s.add(e)
+		s.add(e, weight)
 		s.position = max(s.position, position)
 	}
 	for _, e := range ordered {
 		parts, proven := e.candidates(sound)
 		for _, p := range parts {
-			suspect(e, p, slices.Index(e.parts, p), proven)
+			suspect(e, p, e.weight(), slices.Index(e.parts, p), proven)
 		}
 		if e.suspectsRequest(sound) {
-			suspect(e, e.fingerprint, math.MaxInt, false)
+			suspect(e, e.fingerprint, max(e.weight(), repeatWeight), math.MaxInt, false)
 		}
 	}
 	maps.DeleteFunc(suspicions, func(_ Part, s *suspicion) bool { return !s.fatal() })
--- a/internal/supervisor/quarantiner/evidence_test.go
+++ b/internal/supervisor/quarantiner/evidence_test.go
@@ -132,6 +132,18 @@
 			map[Part]time.Time{request: at(200)},
 			nil,
 		},
+		{
+			"a request that comes again before its answer begins",
+			[]evidence{requested(waiting("e1", 0, shared), request), requested(waiting("e2", 200, shared), request), requested(waiting("e3", 400, shared), request)},
+			map[Part]time.Time{shared: at(-1)},
+			[]Part{request},
+		},
+		{
+			"a request that waited at two engines that crashed",
+			[]evidence{requested(waiting("e1", 0, shared), request), requested(waiting("e2", 200, shared), request)},
+			map[Part]time.Time{shared: at(-1)},
+			nil,
+		},
 		{
 			"a request that is sent on, with a part that others may have",
 			[]evidence{requested(crashed("e1", 0, shared), request), requested(crashed("e2", 200, shared), request)},
--- a/internal/supervisor/quarantiner/quarantiner.go
+++ b/internal/supervisor/quarantiner/quarantiner.go
@@ -167,10 +167,10 @@
 }
 
 // worthTelling reports whether other nodes are told of a request whose answer had not
-// begun: only if it has a part that this node doesn't know to be sound, and at a limited
-// rate. The caller must hold mu.
+// begun: only if its fingerprint is known, or it has a part that this node doesn't know to be
+// sound, and at a limited rate. The caller must hold mu.
 func (q *Quarantiner) worthTelling(e evidence) bool {
-	if _, proven := e.candidates(q.sound); proven {
+	if _, proven := e.candidates(q.sound); proven && e.fingerprint == 0 {
 		return false
 	}
 	nodes := max(q.cfg.Nodes(), 1)
--- a/internal/supervisor/quarantiner/quarantiner_test.go
+++ b/internal/supervisor/quarantiner/quarantiner_test.go
@@ -119,6 +119,22 @@
 	}
 }
 
+// Guards against a request with sound parts that crashes one engine at each node before its
+// answer begins: nodes kept that to themselves.
+func TestNodesTellOfRequestsWithSoundParts(t *testing.T) {
+	n := newNetwork(3)
+	r := Request{Fingerprint: 7, Parts: []Part{shared}}
+	for i, node := range n.nodes {
+		node.RecordSound(Request{Parts: []Part{shared}})
+		n.clock.now = at(i*1000 + 10)
+		node.RecordCrash(Crash{Endpoint: fmt.Sprint("e", i), Request: r, Sent: at(i * 1000)})
+		n.exchange()
+	}
+	if got, want := len(n.heldAt(7)), 3; got != want {
+		t.Errorf("nodes that refuse the request: got %d, want %d", got, want)
+	}
+}
+
 // Answers to requests without any crash are not kept: nearly each has another fingerprint.
 func TestFingerprintsOfSoundRequestsAreNotKept(t *testing.T) {
 	q := newTest(&clock{now: start})
