Keep calling unreached endpoints by way of others when one is reached

Endpoints are now released one by one, and all at once if six of them accept. TestReachOfOneEndpoint and TestCallerThatLeavesKeepsTheHelpers failed before.

--- a/internal/supervisor/detourer/client.go
+++ b/internal/supervisor/detourer/client.go
@@ -41,7 +41,9 @@
 func (d *Detourer) viaNode(ctx context.Context, node string, query []byte) (message, *linker.Conn, error) {
 	conn, sent, err := d.cfg.Open(ctx, node, query)
 	if err != nil {
-		d.dropHelper(node)
+		if ctx.Err() == nil {
+			d.dropHelper(node)
+		}
 		if !sent {
 			err = &driver.Unsent{Err: err}
 		}
--- a/internal/supervisor/detourer/detourer.go
+++ b/internal/supervisor/detourer/detourer.go
@@ -49,8 +49,10 @@
 	// sampleSize is the number of endpoints that are probed to tell whether this node
 	// reaches any.
 	sampleSize = 3
-	// recheckInterval is the time between two probes for the end of a partition.
+	// recheckInterval is the time between two rounds of probes for the end of a partition, and
+	// recheckSize the number of endpoints that are probed in one.
 	recheckInterval = 300 * time.Millisecond
+	recheckSize     = 6
 )
 
 // Config configures a Detourer. Its functions are safe for concurrent use.
@@ -80,7 +82,7 @@
 
 	mu sync.Mutex
 	// unreached holds the addresses that this node doesn't reach and others do, and cutOff
-	// is set while it reaches none at all.
+	// is set while it reaches none at all: all are in unreached then.
 	unreached map[string]bool
 	cutOff    bool
 	// running has a capacity of maxChecks.
@@ -131,7 +133,7 @@
 func (d *Detourer) avoids(address string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.cutOff || d.unreached[address]
+	return d.unreached[address]
 }
 
 func (d *Detourer) isCutOff() bool {
@@ -323,7 +325,7 @@
 			d.addHelper(node)
 			c.end(true)
 			if <-c.sampled; c.lone.Load() {
-				d.setCutOff(true)
+				d.noteCutOff()
 			}
 		})
 	}
@@ -365,9 +367,25 @@
 // noteReached notes that this node reaches an endpoint.
 func (d *Detourer) noteReached(address string) {
 	d.mu.Lock()
+	defer d.mu.Unlock()
 	delete(d.unreached, address)
-	d.mu.Unlock()
-	d.setCutOff(false)
+	d.endCutOff()
+}
+
+// noteAllReached notes that this node reaches all endpoints.
+func (d *Detourer) noteAllReached() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.unreached)
+	d.endCutOff()
+}
+
+// endCutOff ends the time in which this node reaches no endpoint. The caller must hold mu.
+func (d *Detourer) endCutOff() {
+	if d.cutOff {
+		d.cutOff = false
+		d.cfg.Recorder.Info(recorder.EndpointsReached, zap.Int("unreached", len(d.unreached)))
+	}
 }
 
 // noteUnreached notes that other nodes reach an endpoint and this one doesn't.
@@ -381,22 +399,22 @@
 	}
 }
 
-// setCutOff notes whether this node reaches no endpoint at all.
-func (d *Detourer) setCutOff(cutOff bool) {
+// noteCutOff notes that this node reaches no endpoint at all.
+func (d *Detourer) noteCutOff() {
+	endpoints := d.cfg.Endpoints()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if cutOff == d.cutOff {
+	if d.cutOff {
 		return
 	}
-	d.cutOff = cutOff
-	if cutOff {
-		for _, c := range d.checks {
-			c.end(true)
-		}
-		d.cfg.Recorder.Warn(recorder.EndpointsUnreached, zap.Bool("all", true), zap.Strings("helpers", d.helpers))
-	} else {
-		d.cfg.Recorder.Info(recorder.EndpointsReached, zap.Int("unreached", len(d.unreached)))
+	d.cutOff = true
+	for _, address := range endpoints {
+		d.unreached[address] = true
 	}
+	for _, c := range d.checks {
+		c.end(true)
+	}
+	d.cfg.Recorder.Warn(recorder.EndpointsUnreached, zap.Bool("all", true), zap.Strings("helpers", d.helpers))
 }
 
 // Step finds out when endpoints can be reached again, until its context ends.
@@ -409,20 +427,26 @@
 	}}
 }
 
-// recheck probes some of the endpoints that this node didn't reach.
+// recheck probes some of the endpoints that this node didn't reach. If it reaches all of
+// these, the partition has ended.
 func (d *Detourer) recheck(ctx context.Context) {
 	endpoints := d.cfg.Endpoints()
 	d.mu.Lock()
-	cutOff := d.cutOff
 	maps.DeleteFunc(d.unreached, func(address string, _ bool) bool { return !slices.Contains(endpoints, address) })
 	maps.DeleteFunc(d.checks, func(_ string, c *check) bool { return d.cfg.Now().Sub(c.began) >= checkTTL })
 	candidates := slices.Collect(maps.Keys(d.unreached))
 	d.mu.Unlock()
-	if cutOff {
-		candidates = d.sample("")
+	if len(candidates) == 0 {
+		return
 	}
 	shuffle(candidates)
-	for _, address := range d.reached(ctx, candidates[:min(len(candidates), sampleSize)]) {
+	candidates = candidates[:min(len(candidates), recheckSize)]
+	reached := d.reached(ctx, candidates)
+	if len(reached) == len(candidates) {
+		d.noteAllReached()
+		return
+	}
+	for _, address := range reached {
 		d.noteReached(address)
 	}
 }
--- a/internal/supervisor/detourer/detourer_test.go
+++ b/internal/supervisor/detourer/detourer_test.go
@@ -298,6 +298,54 @@
 	})
 }
 
+// A node that reaches one endpoint of four calls the others by way of other nodes, and none
+// of them again itself until they accept.
+func TestReachOfOneEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b", "c")
+		w.cut(w.hanging, "a", true, endpoints...)
+		if _, _, err := w.send(t.Context(), "a", "r"); err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { _ = w.nodes["a"].Step().Run(ctx) }()
+		w.cut(w.hanging, "a", false, endpoints[3])
+		time.Sleep(2 * recheckInterval)
+		relay := w.nodes["a"].Relay()
+		for i, want := range []bool{true, true, true, false} {
+			if got := relay.CutOff(endpoints[i]); got != want {
+				t.Errorf("%s by way of others: got %v, want %v", endpoints[i], got, want)
+			}
+		}
+		w.cut(w.hanging, "a", false, endpoints...)
+		time.Sleep(2 * recheckInterval)
+		if relay.CutOff(endpoints[0]) {
+			t.Error("after the partition endpoints are still called by way of others")
+		}
+	})
+}
+
+// A caller that leaves says nothing of the nodes that help.
+func TestCallerThatLeavesKeepsTheHelpers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b")
+		w.cut(w.refused, "a", true, endpoints...)
+		if _, _, err := w.send(t.Context(), "a", "r"); err != nil {
+			t.Fatal(err)
+		}
+		w.mu.Lock()
+		w.gone["b"] = true
+		w.mu.Unlock()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, _, _ = w.send(ctx, "a", "r2")
+		if got, want := len(w.nodes["a"].shuffledHelpers()), 1; got != want {
+			t.Errorf("helpers: got %d, want %d", got, want)
+		}
+	})
+}
+
 // A request that an endpoint may have got is sent no second time, whoever sent it.
 func TestRequestThatMayHaveRunTakesNoDetour(t *testing.T) {
 	reset := func(context.Context) (driver.Reply, error) { return driver.Reply{}, syscall.ECONNRESET }
