Don't quarantine sound requests that share a fingerprint with harmful ones

What callers would have seen: requests refused for ten minutes since others of their organisation, with the same path and body and another prompt, crash engines. The fingerprint is of caller, path and body, and knew nothing of equal requests that were answered before the crashes.

Nodes now keep the fingerprints that were answered lately. One of these takes three crashes, and a part of the prompt that explains them goes first. TestRequestsThatShareAFingerprint and TestRequestThatWasSoundBefore failed before.

--- a/internal/supervisor/quarantiner/evidence.go
+++ b/internal/supervisor/quarantiner/evidence.go
@@ -123,7 +123,8 @@
 	engines map[string]time.Time
 	proven  bool
 	// position is the part's highest position in a prompt. Parts of a higher one are
-	// shared by fewer requests; a fingerprint has the highest one.
+	// shared by fewer requests; a fingerprint has the highest one, and the lowest if others
+	// share it.
 	position int
 }
 
@@ -189,7 +190,13 @@
 			suspect(e, p, e.weight(), slices.Index(e.parts, p), proven)
 		}
 		if e.suspectsRequest(sound) {
-			suspect(e, e.fingerprint, max(e.weight(), repeatWeight), math.MaxInt, false)
+			// Other requests may have the fingerprint, too, if one was answered before.
+			_, proven := sound[e.fingerprint]
+			position := math.MaxInt
+			if proven {
+				position = -1
+			}
+			suspect(e, e.fingerprint, max(e.weight(), repeatWeight), position, proven)
 		}
 	}
 	maps.DeleteFunc(suspicions, func(_ Part, s *suspicion) bool { return !s.fatal() })
--- a/internal/supervisor/quarantiner/fingerprint.go
+++ b/internal/supervisor/quarantiner/fingerprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -37,5 +38,29 @@
 	Fingerprint Fingerprint
 }
 
+// answers holds when requests were last answered, by fingerprint. Nearly every request has
+// another one: what is older than the last maxAnswered is dropped, in two generations.
+type answers struct {
+	recent map[Part]time.Time
+	older  map[Part]time.Time
+}
+
+// note notes that a request was answered.
+func (a *answers) note(fingerprint Part, at time.Time) {
+	if a.recent == nil || len(a.recent) >= maxAnswered {
+		a.recent, a.older = make(map[Part]time.Time), a.recent
+	}
+	a.recent[fingerprint] = at
+}
+
+// at returns when a request was last answered, and whether that is known.
+func (a *answers) at(fingerprint Part) (time.Time, bool) {
+	if at, ok := a.recent[fingerprint]; ok {
+		return at, true
+	}
+	at, ok := a.older[fingerprint]
+	return at, ok
+}
+
 // String returns the fingerprint as it is named in records and logs.
 func (f Fingerprint) String() string { return Part(f).key() }
--- a/internal/supervisor/quarantiner/quarantiner.go
+++ b/internal/supervisor/quarantiner/quarantiner.go
@@ -34,6 +34,9 @@
 	// sound.
 	maxHolds = 256
 	maxSound = 8192
+	// maxAnswered bounds the fingerprints of each of the two generations of requests that
+	// were answered.
+	maxAnswered = 4096
 	// waitingRate and waitingBurst limit the crashes per second that all nodes together tell
 	// of requests whose answer had not begun: when many engines crash at once, there are
 	// hundreds of these, and each reaches all nodes.
@@ -81,9 +84,11 @@
 
 	mu       sync.Mutex
 	evidence []evidence
-	// sound holds when an answer was last written with a part, or to a request that was
+	// sound holds when an answer was last written with a part, or to a request that is
 	// suspected.
 	sound map[Part]time.Time
+	// answered holds when requests were answered, whether suspected or not.
+	answered answers
 	// holds keeps a part or fingerprint for a while after the end of its quarantine, for its
 	// count.
 	holds map[Part]hold
@@ -179,8 +184,7 @@
 	return q.waiting.AllowN(e.at, 1)
 }
 
-// RecordSound records that an answer to a request was written. Its fingerprint is kept only
-// if there is evidence against it: nearly every request has another one.
+// RecordSound records that an answer to a request was written.
 func (q *Quarantiner) RecordSound(r Request) {
 	q.update(func() (refuted bool) {
 		now := q.cfg.Now()
@@ -199,6 +203,7 @@
 			record(p, true)
 		}
 		record(Part(r.Fingerprint), false)
+		q.answered.note(Part(r.Fingerprint), now)
 		q.pruneSound(now)
 		return refuted
 	})
@@ -255,6 +260,9 @@
 		q.evidence = slices.Delete(q.evidence, least, least+1)
 	}
 	q.evidence = append(q.evidence, e)
+	if at, ok := q.answered.at(e.fingerprint); ok && at.After(q.sound[e.fingerprint]) {
+		q.sound[e.fingerprint] = at
+	}
 	return true
 }
 
--- a/internal/supervisor/quarantiner/quarantiner_test.go
+++ b/internal/supervisor/quarantiner/quarantiner_test.go
@@ -135,14 +135,58 @@
 	}
 }
 
-// Answers to requests without any crash are not kept: nearly each has another fingerprint.
-func TestFingerprintsOfSoundRequestsAreNotKept(t *testing.T) {
+// Guards against sound requests that are refused since they have the path and the body of
+// others: what differs, a fatal part of the prompt, is in neither.
+func TestRequestsThatShareAFingerprint(t *testing.T) {
+	n := newNetwork(3)
+	sound, harmful := Request{Fingerprint: 7, Parts: []Part{shared}}, Request{Fingerprint: 7, Parts: []Part{shared, fatal}}
+	n.nodes[1].RecordSound(sound)
+	n.clock.now = at(1000)
+	n.nodes[0].RecordCrash(Crash{Endpoint: "e1", Request: harmful, Sent: at(900), Answering: true})
+	n.exchange()
+	n.clock.now = at(1200)
+	n.nodes[2].RecordCrash(Crash{Endpoint: "e2", Request: harmful, Sent: at(1100), Answering: true})
+	n.exchange()
+	for i, node := range n.nodes {
+		if _, _, held := node.Held(sound); held {
+			t.Errorf("node %d refuses sound requests", i)
+		}
+		if _, _, held := node.Held(harmful); !held {
+			t.Errorf("node %d doesn't refuse requests with the fatal part", i)
+		}
+	}
+}
+
+// A request that was answered before and crashes endpoints since takes one crash more.
+func TestRequestThatWasSoundBefore(t *testing.T) {
+	c := &clock{now: start}
+	q := newTest(c)
+	r := Request{Fingerprint: 7}
+	q.RecordSound(r)
+	for crash, want := range []bool{false, false, true} {
+		c.now = at(1000 * (crash + 1))
+		q.RecordCrash(Crash{Endpoint: fmt.Sprint("e", crash), Request: r, Sent: at(1000*crash + 900), Answering: true})
+		if _, _, held := q.Held(r); held != want {
+			t.Errorf("in quarantine after %d crashes: got %v, want %v", crash+1, held, want)
+		}
+	}
+}
+
+// Nearly each request has another fingerprint: those that were answered are kept for a
+// while only, and take no room of the parts that are known to be sound.
+func TestAnsweredFingerprintsAreBounded(t *testing.T) {
 	q := newTest(&clock{now: start})
-	for n := range 100 {
+	for n := range 5 * maxAnswered {
 		q.RecordSound(Request{Fingerprint: Fingerprint(n + 1)})
 	}
 	if got := len(q.sound); got > 0 {
-		t.Errorf("fingerprints that are kept: got %d, want none", got)
+		t.Errorf("fingerprints among the sound parts: got %d, want none", got)
+	}
+	if got, limit := len(q.answered.recent)+len(q.answered.older), 2*maxAnswered; got > limit {
+		t.Errorf("fingerprints that are kept: got %d, want at most %d", got, limit)
+	}
+	if _, ok := q.answered.at(Part(5 * maxAnswered)); !ok {
+		t.Error("the last one is not kept")
 	}
 }
 
