--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,6 +11,12 @@
 	"time"
 )
 
+// configTemplate is the operator's configuration, with places for the host, the service and
+// the API key.
+//
+//go:embed config.json.tmpl
+var configTemplate string
+
 const (
 	host   = "portal.example"
 	apiKey = "n2ctnfzs989anu6wsjnb"
@@ -18,12 +25,7 @@
 // configure writes the operator's configuration: one plain service, with a route for
 // bookings, which aren't idempotent, and one for look-ups.
 func (b *bench) configure(service string) {
-	text := fmt.Sprintf(`{"version":7,"routes":[
-{"name":"r-book","host":%[1]q,"path-prefix":"/book/","kind":"non_idempotent","timeout-ms":2000,"target-latency-ms":150,"priority":2,"service":%[2]q,"max-attempts":1,"allow-anonymous":false},
-{"name":"r-look","host":%[1]q,"path-prefix":"/look/","kind":"idempotent","timeout-ms":2000,"target-latency-ms":150,"priority":2,"service":%[2]q,"max-attempts":2,"allow-anonymous":false}],
-"services":[{"name":%[2]q,"health-check":"/health","max-connections":100,"protocol":"h1","tls":false}],
-"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},
-"tenants":[{"name":"hule930","api-keys":[%[3]q]}]}`, host, service, apiKey)
+	text := fmt.Sprintf(configTemplate, host, service, apiKey)
 	b.store.put(names["op"], "config", []byte(text))
 }
 
--- a/review/standins/server.go
+++ b/review/standins/server.go
@@ -95,8 +95,7 @@
 	default:
 	}
 	s.seq++
-	s.store.put(names["servers"], s.id, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":6,"state":%q,"cold-remaining-ms":0,"seq":%d,"born":%d}`,
+	s.store.put(names["servers"], s.id, fmt.Appendf(nil, names["entry"],
 		s.service, s.address, s.zone, state, s.seq, s.born))
 }
 
--- a/review/standins/stranger.go
+++ b/review/standins/stranger.go
@@ -40,7 +40,7 @@
 	if trouble {
 		// Half of the fields of an entry are missing.
 		b.store.put(names["servers"], "w-1", fmt.Appendf(nil, `{"service":"vereinsportal","address":%q,"zone":"muenchen","state":"ready"}`, b.at(39, 4)))
-		b.rec.printf("disruption: another writer has written an entry without version, slots, cold-remaining-ms and seq")
+		b.rec.printf("disruption: another writer has written an entry in which half of the fields are missing")
 	}
 	time.Sleep(3 * time.Second)
 	var all []outcome
