Answer requests whose handling panics, and log what ended an answer

Callers saw: a request that ends with a closed connection, neither answered nor refused. Cause: net/http closes the connection of a handler that panics and writes the stack to standard error, where no structured log has it. Change: a panic is logged as event 110 with the request, and answered with 500 (may have run); after the head of an answer the connection is closed as before, since the answer is truncated. Event 200 says how long after the last event a stream was ended, and whether the body was chunked. Evidence: TestPanicIsAnswered got EOF without the change.

--- a/internal/recorder/guard.go
+++ b/internal/recorder/guard.go
@@ -16,11 +16,16 @@
 func (r *Recorder) Guard(where string, f func()) (ok bool) {
 	defer func() {
 		if p := recover(); p != nil {
-			stack := debug.Stack()
-			r.Error(PanicCaught, zap.String("where", where), zap.String("panic", fmt.Sprint(p)),
-				zap.ByteString("stack", stack[:min(len(stack), maxStackBytes)]))
+			r.Panicked(where, p)
 		}
 	}()
 	f()
 	return true
 }
+
+// Panicked logs a panic that its caller, a deferred function, has recovered.
+func (r *Recorder) Panicked(where string, p any, fields ...zap.Field) {
+	stack := debug.Stack()
+	r.Error(PanicCaught, append(fields, zap.String("where", where), zap.String("panic", fmt.Sprint(p)),
+		zap.ByteString("stack", stack[:min(len(stack), maxStackBytes)]))...)
+}
--- a/internal/supervisor/forwarder/answer.go
+++ b/internal/supervisor/forwarder/answer.go
@@ -80,7 +80,11 @@
 	if c.room.decided {
 		fields = append(fields, zap.Float64("room", c.room.load), zap.Int("class", c.room.class))
 	}
+	if !c.lastWrite.IsZero() {
+		fields = append(fields, zap.Duration("silence", f.cfg.Now().Sub(c.lastWrite)))
+	}
 	f.cfg.Recorder.Info(recorder.RequestRefused, append(fields,
+		zap.Bool("chunked", c.r.ContentLength < 0),
 		zap.String("request", c.ID),
 		zap.String("route", c.route.Name),
 		zap.String("service", c.service),
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"banyanquay/internal/bounder"
 	"banyanquay/internal/counter"
@@ -235,6 +236,8 @@
 	// stream, or the whole of another answer, was written.
 	status     int
 	firstWrite time.Time
+	// lastWrite is when the last event of a stream was written.
+	lastWrite time.Time
 }
 
 // failure is an endpoint's complete reply to a request that it failed.
@@ -247,6 +250,30 @@
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.cfg.Now()
 	c := &call{w: w, r: r, Request: Request{Arrived: arrived}, tried: make(map[string]bool)}
+	defer f.answerPanic(c)
+	f.serve(c)
+}
+
+// answerPanic answers a request whose handling has panicked. net/http would close the
+// connection without an answer. It is to be deferred.
+func (f *Forwarder) answerPanic(c *call) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(p)
+	}
+	f.cfg.Recorder.Panicked("request", p, zap.String("request", c.ID))
+	if !c.answered {
+		clear(c.w.Header()) // may have those of an endpoint's reply
+	}
+	f.refuse(c, refuser.New(refuser.InternalError, "%v", p).WithRan(refuser.Maybe))
+}
+
+// serve serves a caller's request.
+func (f *Forwarder) serve(c *call) {
+	w, r := c.w, c.r
 	leave, err := f.cfg.Gate.Acquire()
 	defer leave()
 	if f.cfg.Gate.Leaving() {
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -362,7 +362,7 @@
 		if err := out.Flush(); err != nil {
 			return trace.ConnectionProblem(err, "writing to the caller")
 		}
-		c.lastEventID = e.id
+		c.lastEventID, c.lastWrite = e.id, f.cfg.Now()
 		if s.recordEvent(f.cfg.Now()) == quarantiner.ProvenEvents {
 			f.cfg.Quarantine.RecordSound(c.content)
 		}
--- a/internal/supervisor/forwarder/refusal_test.go
+++ b/internal/supervisor/forwarder/refusal_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"banyanquay/internal/driver"
 	"banyanquay/internal/standin/emulator"
 )
 
@@ -96,3 +101,27 @@
 		})
 	}
 }
+
+// A panic while a request is handled was answered by closing its connection: the caller
+// got neither an answer nor a refusal.
+func TestPanicIsAnswered(t *testing.T) {
+	w := newHarness(t, driver.Relay{Send: func(context.Context, string, driver.Forward) (driver.Reply, error) {
+		panic("unforeseen")
+	}}, plainEntries()...)
+	server := httptest.NewServer(w.f)
+	defer server.Close()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+pathPut+"1", io.MultiReader(strings.NewReader("body")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = host
+	req.Header.Set("Key", secret)
+	resp, err := server.Client().Do(req)
+	if err != nil {
+		t.Fatalf("got no answer, %v", err)
+	}
+	defer resp.Body.Close()
+	if got, want := resp.StatusCode, http.StatusInternalServerError; got != want {
+		t.Errorf("status: got %d, want %d", got, want)
+	}
+}
