--- a/internal/standin/emulator/emulator.go
+++ b/internal/standin/emulator/emulator.go
@@ -103,6 +103,9 @@
 	// them unanswered if dark is set.
 	down bool
 	dark bool
+	// silent is set while the engine accepts connections and calls, and answers none of
+	// them and makes no progress until it goes on.
+	silent bool
 	// slowFactor multiplies all times of passes.
 	slowFactor float64
 	// shedShare is the share of requests that the engine rejects.
@@ -120,7 +123,7 @@
 	fence  uint64
 	// loading is the placement that is being loaded; nil if there is none.
 	loading *driver.Placement
-	// changed is closed and replaced when down changes.
+	// changed is closed and replaced when down or silent changes.
 	changed chan struct{}
 }
 
@@ -222,6 +225,25 @@
 	}
 }
 
+// call connects to an engine and waits while it is silent.
+func (e *Emulator) call(ctx context.Context, address string) (*engine, error) {
+	n, err := e.connect(ctx, address)
+	for err == nil {
+		e.mu.Lock()
+		silent, changed := n.silent, n.changed
+		e.mu.Unlock()
+		if !silent {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, trace.ConnectionProblem(ctx.Err(), "waiting for %s", address)
+		}
+	}
+	return n, err
+}
+
 func (e *Emulator) probe(ctx context.Context, address string) error {
 	_, err := e.connect(ctx, address)
 	return err
@@ -230,7 +252,7 @@
 // report returns an engine's orders and pace, how many generations begin at it, and
 // which of these are stalled by an engine that does not answer.
 func (e *Emulator) report(ctx context.Context, address, _ string) (driver.Report, error) {
-	n, err := e.connect(ctx, address)
+	n, err := e.call(ctx, address)
 	if err != nil {
 		return driver.Report{}, err
 	}
@@ -263,7 +285,7 @@
 // changePath moves a generation to another path. Engines that are new in the path
 // have to read its tokens again.
 func (e *Emulator) changePath(ctx context.Context, address, _, request string, path []driver.PathStage) error {
-	if _, err := e.connect(ctx, address); err != nil {
+	if _, err := e.call(ctx, address); err != nil {
 		return err
 	}
 	e.mu.Lock()
@@ -294,6 +316,9 @@
 	if _, err := e.connect(ctx, address); err != nil {
 		return driver.Reply{}, &driver.Unsent{Err: err}
 	}
+	if _, err := e.call(ctx, address); err != nil {
+		return driver.Reply{}, err
+	}
 	prompt, answer, after, err := Decode(f)
 	if err != nil {
 		return driver.Reply{}, err
--- a/internal/standin/emulator/pass.go
+++ b/internal/standin/emulator/pass.go
@@ -104,6 +104,9 @@
 	}
 }
 
+// silenceTimeout is above any silence of an engine, which ends with a change of its state.
+const silenceTimeout = time.Hour
+
 // startVisit sets the delay and the task of a visit to an engine. The caller holds
 // e.mu.
 func (e *Emulator) startVisit(g *generation, v *visit, part driver.PathStage, at int, down bool) {
@@ -111,6 +114,8 @@
 	switch {
 	case down:
 		v.wait = e.cfg.StallTimeout
+	case v.engine.silent:
+		v.wait, v.engineChanged = silenceTimeout, v.engine.changed
 	case e.cfg.PrefillChunk == 0:
 		v.wait = e.unbatchedTime(v.engine, part, v.read+g.takeUnread(part.Address), v.steps)
 	default:
--- a/internal/standin/emulator/trouble.go
+++ b/internal/standin/emulator/trouble.go
@@ -17,12 +17,23 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	n := e.engines[address]
-	n.down, n.dark = false, false
+	n.down, n.dark, n.silent = false, false, false
 	n.First, n.Last, n.orders, n.fence, n.tokens = 0, 0, 0, 0, 0
 	close(n.changed)
 	n.changed = make(chan struct{})
 }
 
+// Silence makes an engine fall silent, or go on with all that it has. A silent engine
+// accepts connections and loses nothing.
+func (e *Emulator) Silence(address string, silent bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := e.engines[address]
+	n.silent = silent
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
 // Slow multiplies the times of an engine by a factor.
 func (e *Emulator) Slow(address string, factor float64) {
 	e.mu.Lock()
