Cut off no stream whose caller waits

Cause: limits of the node's own ended streams that could have gone on. The monitor ended the attempts of stalled streams after asking whether the budget has a retry, so that all streams of a node were promised the same few retries; a stream that then got none in 1.3 s, found no path in 1.3 s or had been refused six times was cut off. The class: an action whose cost is checked, and paid by somebody else later; and limits that protect the node from requests that it can refuse, applied to answers that it can only break. Change: the monitor takes the retry before it ends an attempt, and leaves the attempt alone if there is none. A stream in progress waits for a path, a retry or a permit until its time is up or its caller leaves; from the sixth send on it waits 0.3 s before each. A request that resumes a stream has no head of an answer yet, and is refused after 1.3 s as before.

--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -26,10 +26,12 @@
 	// streamBuffer is the size of a stream's read buffer; an event has on the
 	// order of a hundred bytes.
 	streamBuffer = 4 << 10
-	// maxGenerationSends limits how often one generation is sent, refused sends
-	// included, and maxInitialSends how often one is sent that has no event yet.
-	maxGenerationSends = 6
-	maxInitialSends    = 3
+	// maxInitialSends limits how often a generation is sent that has no event yet,
+	// refused sends included. One that has events is sent until its time is up: its caller
+	// can't be told anything else any more. From maxQuickSends sends on it waits for
+	// refusedRetryDelay before each.
+	maxInitialSends = 3
+	maxQuickSends   = 6
 	// failureBackoff is how long an endpoint is avoided after it failed a request.
 	failureBackoff = 2 * time.Second
 	// overloadBackoff is how long an engine is avoided that lacked capacity. Each
@@ -39,11 +41,12 @@
 	maxOverloadDoublings = 4
 	// maxFailureBytes limits the size of a failure reply that is kept for the caller.
 	maxFailureBytes = 64 << 10
-	// budgetTimeout is how long a stream in progress waits for a retry from the
-	// budget: callers disconnect after two seconds without an event.
-	// budgetPollInterval is how often it polls the budget.
-	budgetTimeout      = 1300 * time.Millisecond
-	budgetPollInterval = 50 * time.Millisecond
+	// resumedTimeout is how long a request that resumes a stream waits for a path, a retry
+	// or a permit before it is refused. A stream in progress waits until its time is up.
+	// After resumedTimeout it polls every slowPollInterval instead of pollInterval.
+	resumedTimeout   = 1300 * time.Millisecond
+	pollInterval     = 50 * time.Millisecond
+	slowPollInterval = 200 * time.Millisecond
 	// minRemaining is the minimum remaining time for another attempt of a generation.
 	minRemaining = 50 * time.Millisecond
 )
@@ -75,7 +78,10 @@
 			f.failGeneration(c, s, f.generationRefusal(c, r, lastErr))
 			return
 		}
-		path, err := f.paidPath(c, s.version)
+		if c.answered && c.sends >= maxQuickSends {
+			grouper.Sleep(c.r.Context(), refusedRetryDelay)
+		}
+		path, err := f.paidPath(c, s)
 		if err != nil {
 			f.failGeneration(c, s, f.generationRefusal(c, err, lastErr))
 			return
@@ -116,15 +122,49 @@
 // it resumes a stream, of an earlier one.
 func (c *call) begun() bool { return c.answered || c.LastEventID != "" }
 
-// takeRetry takes a retry from the budget. A stream whose caller has events waits for
-// one until budgetTimeout or until its caller leaves.
-func (f *Forwarder) takeRetry(c *call) bool {
-	deadline := f.cfg.Now().Add(budgetTimeout)
+// patience is how long a request may wait for what its next attempt needs. A refusal tells a
+// caller without events more than silence does; a stream whose answer has begun can only be cut
+// off, so that it waits until its time is up.
+func (f *Forwarder) patience(c *call) time.Duration {
+	switch left, limited := c.remaining(f.cfg.Now(), c.route.Timeout); {
+	case !c.begun():
+		return 0
+	case !c.answered:
+		return resumedTimeout
+	case limited:
+		return max(left-minRemaining, 0)
+	default:
+		return maxSilence
+	}
+}
+
+// wait waits for a moment until what a request's next attempt needs may be there. It
+// reports whether the request goes on: until it has waited for limit since began, and until its
+// caller leaves.
+func (f *Forwarder) wait(c *call, began time.Time, limit time.Duration) bool {
+	waited := f.cfg.Now().Sub(began)
+	if waited > limit || limit <= 0 {
+		return false
+	}
+	interval := pollInterval
+	if waited > resumedTimeout {
+		interval = slowPollInterval
+	}
+	return grouper.Sleep(c.r.Context(), interval)
+}
+
+// takeRetry takes a retry from the budget, unless the monitor has taken it already. A stream
+// whose caller has events waits for one.
+func (f *Forwarder) takeRetry(c *call, s *session) bool {
+	if s.usePaidRetry() {
+		return true
+	}
+	began, limit := f.cfg.Now(), f.patience(c)
 	for {
 		if f.cfg.Budget.TakeRetry(c.service, c.begun()) {
 			return true
 		}
-		if !c.begun() || f.cfg.Now().After(deadline) || !grouper.Sleep(c.r.Context(), budgetPollInterval) {
+		if !f.wait(c, began, limit) {
 			f.cfg.Counters.Retries.Add("budget_spent", 1)
 			return false
 		}
@@ -144,7 +184,7 @@
 	if limited && left < minRemaining {
 		return false
 	}
-	if c.sends >= maxGenerationSends || (!c.answered && c.sends >= maxInitialSends) {
+	if !c.answered && c.sends >= maxInitialSends {
 		return false
 	}
 	var unsent *driver.Unsent
--- a/internal/supervisor/forwarder/limit.go
+++ b/internal/supervisor/forwarder/limit.go
@@ -110,10 +110,7 @@
 // awaitPermit chooses endpoints until one takes the request, or there is none left and
 // none will take it soon.
 func (f *Forwarder) awaitPermit(c *call, choose func() (id string, ok bool)) {
-	deadline := f.cfg.Now().Add(maxLimitWait)
-	if c.begun() {
-		deadline = f.cfg.Now().Add(budgetTimeout)
-	}
+	deadline := f.cfg.Now().Add(max(maxLimitWait, f.patience(c)))
 	c.limited = make(map[string]bool)
 	for {
 		id, ok := choose()
@@ -136,13 +133,13 @@
 // budget unless it is the first. A request without an event chooses its path before, so that
 // it takes none if no path has room; a stream may wait for a retry, and its path is chosen
 // after that.
-func (f *Forwarder) paidPath(c *call, version string) ([]pathfinder.Stage, error) {
+func (f *Forwarder) paidPath(c *call, s *session) ([]pathfinder.Stage, error) {
 	spent := refuser.New(refuser.RetryBudgetSpent, "the retry budget is spent").WithWait(budgetRetryDelay())
-	if c.arrived && c.begun() && !f.takeRetry(c) {
+	if c.arrived && c.begun() && !f.takeRetry(c, s) {
 		return nil, spent
 	}
-	path, err := f.awaitPath(c, version)
-	if err == nil && c.arrived && !c.begun() && !f.takeRetry(c) {
+	path, err := f.awaitPath(c, s.version)
+	if err == nil && c.arrived && !c.begun() && !f.takeRetry(c, s) {
 		return nil, spent
 	}
 	return path, err
@@ -153,14 +150,14 @@
 const refusedRetryDelay = 300 * time.Millisecond
 
 // awaitPath returns the path of a request's next attempt. A stream whose caller has events
-// waits for one until budgetTimeout or until its caller leaves: engines that are being
-// replaced, or that refused it for want of memory, are often back within that time.
+// waits for one: engines that are being replaced, or that refused it for want of memory, are
+// often back within a second.
 func (f *Forwarder) awaitPath(c *call, version string) ([]pathfinder.Stage, error) {
-	began := f.cfg.Now()
-	deadline, nextTry := began.Add(budgetTimeout), began.Add(refusedRetryDelay)
+	began, limit := f.cfg.Now(), f.patience(c)
+	nextTry := began.Add(refusedRetryDelay)
 	for {
 		path, err := f.pacedPath(c, version)
-		if err == nil || !c.begun() || f.cfg.Now().After(deadline) || !grouper.Sleep(c.r.Context(), budgetPollInterval) {
+		if err == nil || !f.wait(c, began, limit) {
 			return path, err
 		}
 		if now := f.cfg.Now(); !now.Before(nextTry) {
--- a/internal/supervisor/forwarder/move.go
+++ b/internal/supervisor/forwarder/move.go
@@ -39,7 +39,7 @@
 	if !m.restartImproves(s, state) {
 		return
 	}
-	if m.f.mayRestart(s.c, state) {
+	if m.f.payRestart(s, state) {
 		state.cancel(errStalled)
 		return
 	}
@@ -49,10 +49,11 @@
 	}
 }
 
-// mayRestart reports whether the route and the retry budget allow a stream to restart
-// elsewhere.
-func (f *Forwarder) mayRestart(c *call, state snapshot) bool {
-	if !c.route.Resumable {
+// payRestart reports whether the route and the retry budget allow a stream to restart
+// elsewhere, and takes the retry for it: an attempt that is ended before its successor is paid
+// for may have none.
+func (f *Forwarder) payRestart(s *session, state snapshot) bool {
+	if !s.c.route.Resumable {
 		return false // an engine may have started the request
 	}
 	// The attempt in progress counts unless its first engine has stopped.
@@ -60,7 +61,7 @@
 	if f.prober.stopped(state.first().Address) {
 		runs--
 	}
-	return runs < c.route.Attempts && f.cfg.Budget.CanRetry(c.service, state.events > 0)
+	return runs < s.c.route.Attempts && s.payRetry(state)
 }
 
 // restartImproves reports whether a restart is likely to help a stream: an engine of
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -20,6 +20,8 @@
 	// path is empty before the first attempt.
 	path   []pathfinder.Stage
 	cancel context.CancelCauseFunc
+	// attempt counts the attempts.
+	attempt int
 	// release stops counting the load of the path as in progress.
 	release func()
 	// endWait stops counting the prompt as waiting for its first event; nil if it doesn't.
@@ -56,6 +58,8 @@
 	// runs counts the attempts that an engine started and that count against the
 	// route's limit.
 	runs int
+	// paid is set while a retry has been taken from the budget for the next attempt.
+	paid bool
 	// detoured is set once the attempt's first engine is called by way of another node.
 	detoured bool
 }
@@ -74,6 +78,7 @@
 	}
 	s.cancel, s.attemptEvents, s.lastProgress, s.nextCheck, s.checks, s.attemptChecks, s.pathSuspected = cancel, 0, now, now, 0, 0, false
 	s.detoured = false
+	s.attempt++
 	s.setPath(path)
 }
 
@@ -124,6 +129,27 @@
 	s.runs++
 }
 
+// payRetry takes a retry from the budget for the attempt that follows that of state, unless it is
+// taken already. It reports whether it is, and the attempt still the current one.
+func (s *session) payRetry(state snapshot) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel == nil || s.attempt != state.attempt {
+		return false
+	}
+	s.paid = s.paid || s.f.cfg.Budget.TakeRetry(s.c.service, state.events > 0)
+	return s.paid
+}
+
+// usePaidRetry uses the retry that payRetry has taken, and reports whether there was one.
+func (s *session) usePaidRetry() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	paid := s.paid
+	s.paid = false
+	return paid
+}
+
 // recordEvent records the arrival of an event and returns the number of events of the
 // attempt.
 func (s *session) recordEvent(now time.Time) int {
@@ -160,6 +186,7 @@
 type snapshot struct {
 	path         []pathfinder.Stage
 	cancel       context.CancelCauseFunc
+	attempt      int
 	lastProgress time.Time
 	// attemptEvents counts the events of the current attempt.
 	attemptEvents int
@@ -177,7 +204,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return snapshot{
-		path: s.path, cancel: s.cancel, lastProgress: s.lastProgress, attemptEvents: s.attemptEvents, events: s.events,
+		path: s.path, cancel: s.cancel, attempt: s.attempt, lastProgress: s.lastProgress, attemptEvents: s.attemptEvents, events: s.events,
 		interval: s.interval, longestPause: s.longestPause, moves: s.moves, attemptChecks: s.attemptChecks, runs: s.runs,
 		detoured: s.detoured,
 	}
