Take a detour for unsent only if the other node says so

Cause: the node took each message that it couldn't decode for the answer of a build without detours, which sends nothing, and sent the booking again, to the same endpoint and then to others. CBOR's text strings have to be UTF-8, and the head of an answer may hold a header in ISO 8859-1. The same happens with the address of the endpoint at fault, the version, an error that quotes a malformed header, and the detail of a refused order, which quotes the endpoint's body: the order was given twice. A failure after the head of an answer could also say that nothing was sent.

Once the query is written, a call counts as unsent only if the other node answers that it makes no call, or that it doesn't know the subject. All other messages that can't be decoded mean that the call may have run. Strings that aren't UTF-8 now pass between nodes unchanged, so that such headers take a detour in both directions.

Builds mixed during a rolling restart: an earlier build can't decode such a string. Asked for a call with one, it declines and nothing is sent. If it asks, which the missing field RawStrings tells, it gets an error instead of the answer, and never a message that it would take for "nothing was sent". Texts of failures are valid UTF-8 for all builds.

--- a/internal/encoder/encoder.go
+++ b/internal/encoder/encoder.go
@@ -24,6 +24,8 @@
 		MaxNestedLevels:  maxNesting,
 		MaxArrayElements: maxElements,
 		MaxMapPairs:      maxElements,
+		// Values from outside, such as headers in ISO 8859-1, pass between nodes unchanged.
+		UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode())
 )
 
--- a/internal/encoder/encoder_test.go
+++ b/internal/encoder/encoder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"reflect"
 	"testing"
 	"time"
 )
@@ -73,3 +74,16 @@
 		}
 	}
 }
+
+// Guards against values from outside, such as headers in ISO 8859-1, that make a message
+// between nodes undecodable.
+func TestStringsThatAreNotUTF8(t *testing.T) {
+	want := sample{Name: "Best\xe4tigung", List: []string{"\xff"}, Table: map[string]sample{"\xe4": {Name: "b"}}}
+	data, err := CBOR(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, err := FromCBOR[sample](data); err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v, want %+v", got, err, want)
+	}
+}
--- a/internal/supervisor/detourer/client.go
+++ b/internal/supervisor/detourer/client.go
@@ -18,6 +18,7 @@
 // viaHelper makes a call by way of a node that reaches the endpoint, or of the next one while
 // the call was not sent. conn is nil if there is an error, and else to be closed.
 func (d *Detourer) viaHelper(ctx context.Context, r request) (first message, conn *linker.Conn, helper string, err error) {
+	r.RawStrings = true
 	query, err := encoder.CBOR(r)
 	if err != nil {
 		return message{}, nil, "", &driver.Unsent{Err: err}
@@ -37,7 +38,8 @@
 	return message{}, nil, "", err
 }
 
-// viaNode makes a call by way of one node, and returns the first message of the result.
+// viaNode makes a call by way of one node, and returns the first message of the result. Once
+// the query is written, the call counts as unsent only if the node says so.
 func (d *Detourer) viaNode(ctx context.Context, node string, query []byte) (message, *linker.Conn, error) {
 	conn, sent, err := d.cfg.Open(ctx, node, query)
 	if err != nil {
@@ -57,12 +59,17 @@
 		}
 		return message{}, nil, trace.ConnectionProblem(err, "waiting for node %s", node)
 	}
+	if linker.Unhandled(data) {
+		conn.Close()
+		d.dropHelper(node)
+		return message{}, nil, &driver.Unsent{Err: trace.NotImplemented("node %s makes no calls for others", node)}
+	}
 	m, err := encoder.FromCBOR[message](data)
 	if err != nil {
-		// A node of an earlier build answers that it doesn't know the subject.
+		// The message may be the answer to a call that the node has made.
 		conn.Close()
 		d.dropHelper(node)
-		return message{}, nil, &driver.Unsent{Err: err}
+		return message{}, nil, trace.ConnectionProblem(err, "decoding the answer of node %s", node)
 	}
 	if m.Failure != nil {
 		conn.Close()
@@ -139,7 +146,8 @@
 	case err != nil:
 		b.err = err
 	case m.Failure != nil:
-		b.err = m.Failure.err()
+		// Not m.Failure.err(), which may say that nothing was sent: the answer has begun.
+		b.err = trace.ConnectionProblem(nil, "%s", m.Failure.Text)
 	case m.End:
 		b.err = io.EOF
 	default:
@@ -155,7 +163,7 @@
 
 // probeVia asks a node whether an endpoint accepts its connections.
 func (d *Detourer) probeVia(ctx context.Context, node, address string) error {
-	query, err := encoder.CBOR(request{Operation: probeOperation, Address: address})
+	query, err := encoder.CBOR(request{Operation: probeOperation, Address: address, RawStrings: true})
 	if err != nil {
 		return err
 	}
--- a/internal/supervisor/detourer/message.go
+++ b/internal/supervisor/detourer/message.go
@@ -2,7 +2,10 @@
 
 import (
 	"errors"
+	"slices"
+	"strings"
 	"syscall"
+	"unicode/utf8"
 
 	"github.com/gravitational/trace"
 
@@ -31,6 +34,10 @@
 	Placement *driver.Placement  `cbor:"5,keyasint,omitempty"`
 	Stream    string             `cbor:"6,keyasint,omitempty"`
 	Path      []driver.PathStage `cbor:"7,keyasint,omitempty"`
+	// RawStrings is set by nodes that decode strings that aren't UTF-8. Those of earlier
+	// builds take a message with such a string for one that says that nothing was sent, and
+	// send the request again.
+	RawStrings bool `cbor:"8,keyasint,omitempty"`
 }
 
 // message is a part of the result of a call. The result of sendOperation is a reply, then
@@ -57,12 +64,16 @@
 	Unable bool `cbor:"5,keyasint,omitempty"`
 }
 
-// newFailure returns the failure for an error.
+// replacement replaces bytes that aren't UTF-8 in the texts of failures, which may quote an
+// endpoint.
+const replacement = "\uFFFD"
+
+// newFailure returns the failure for an error. Nodes of earlier builds can decode it.
 func newFailure(err error) *failure {
-	f := &failure{Text: err.Error(), Unsent: isUnsent(err), ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED)}
+	f := &failure{Text: strings.ToValidUTF8(err.Error(), replacement), Unsent: isUnsent(err), ConnectionRefused: errors.Is(err, syscall.ECONNREFUSED)}
 	var refused *driver.Refused
 	if errors.As(err, &refused) {
-		f.Refused = refused
+		f.Refused = &driver.Refused{Reason: refused.Reason, Detail: strings.ToValidUTF8(refused.Detail, replacement)}
 	}
 	return f
 }
@@ -85,6 +96,16 @@
 	return err
 }
 
+// isUTF8 reports whether all strings of a reply's head are valid UTF-8.
+func isUTF8(r driver.Reply) bool {
+	for name, values := range r.Header {
+		if !utf8.ValidString(name) || slices.ContainsFunc(values, func(v string) bool { return !utf8.ValidString(v) }) {
+			return false
+		}
+	}
+	return utf8.ValidString(r.Fault) && utf8.ValidString(r.Version)
+}
+
 // isUnsent reports whether a call failed before any byte of it was written.
 func isUnsent(err error) bool {
 	var unsent *driver.Unsent
--- a/internal/supervisor/detourer/server.go
+++ b/internal/supervisor/detourer/server.go
@@ -60,6 +60,10 @@
 		return
 	}
 	defer answer.Body.Close()
+	if !r.RawStrings && !isUTF8(answer) {
+		reply(message{Failure: &failure{Text: "a header of the answer is not valid UTF-8"}})
+		return
+	}
 	if !reply(message{Reply: &answer}) {
 		return
 	}
--- a/internal/supervisor/linker/dialler.go
+++ b/internal/supervisor/linker/dialler.go
@@ -43,6 +43,16 @@
 	Error string
 }
 
+// noHandler is the error of a query on a subject that a node doesn't know.
+const noHandler = "no handler for this subject"
+
+// Unhandled reports whether a message is the answer of a node that doesn't know the subject
+// of a query, and so has done nothing for it.
+func Unhandled(message []byte) bool {
+	a, err := encoder.FromCBOR[answer](message)
+	return err == nil && a.Error == noHandler
+}
+
 // maintainLink keeps one link to address up until ctx ends.
 func (l *Linker) maintainLink(ctx context.Context, address string) {
 	redial := backoff.NewExponentialBackOff()
@@ -213,7 +223,7 @@
 func (l *Linker) answerQuery(peer hello) answer {
 	handler := l.handlers[peer.Subject]
 	if handler == nil {
-		return answer{Error: "no handler for this subject"}
+		return answer{Error: noHandler}
 	}
 	reply := answer{Error: "unexpected error"}
 	l.cfg.Recorder.Guard("query", func() {
