Accept only a result as the result of a call by way of another node

The node that places layers took any message of another node that could be decoded and named no failure for the result of its call: an order counted as accepted, an engine without a report as idle with no orders, an endpoint as reached. A node of a later build may send such a message.

A report now needs its report and any other call its end; other messages are errors that don't say that nothing was sent.

--- a/internal/supervisor/detourer/client.go
+++ b/internal/supervisor/detourer/client.go
@@ -85,11 +85,14 @@
 func (d *Detourer) control(ctx context.Context, r request) (message, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	m, conn, _, err := d.viaHelper(ctx, r)
+	m, conn, helper, err := d.viaHelper(ctx, r)
 	if err != nil {
 		return message{}, err
 	}
 	conn.Close()
+	if !m.isResult(r.Operation) {
+		return message{}, trace.BadParameter("node %s sent no result", helper)
+	}
 	return m, nil
 }
 
@@ -167,11 +170,15 @@
 	if err != nil {
 		return err
 	}
-	_, conn, err := d.viaNode(ctx, node, query)
-	if err == nil {
-		conn.Close()
+	m, conn, err := d.viaNode(ctx, node, query)
+	if err != nil {
+		return err
 	}
-	return err
+	conn.Close()
+	if !m.isResult(probeOperation) {
+		return trace.BadParameter("node %s sent no result", node)
+	}
+	return nil
 }
 
 // shuffledHelpers returns the nodes that reached endpoints when they were last asked, in
--- a/internal/supervisor/detourer/detourer.go
+++ b/internal/supervisor/detourer/detourer.go
@@ -206,7 +206,7 @@
 		return d.cfg.Direct.Report(ctx, address, endpoint)
 	}
 	m, err := d.control(ctx, request{Operation: reportOperation, Address: address, Endpoint: endpoint})
-	if err != nil || m.Report == nil {
+	if err != nil {
 		return driver.Report{}, err
 	}
 	return *m.Report, nil
--- a/internal/supervisor/detourer/message.go
+++ b/internal/supervisor/detourer/message.go
@@ -51,6 +51,15 @@
 	Failure *failure       `cbor:"5,keyasint,omitempty"`
 }
 
+// isResult reports whether the message is the whole result of a successful call other than
+// sendOperation.
+func (m message) isResult(o operation) bool {
+	if o == reportOperation {
+		return m.Report != nil
+	}
+	return m.End
+}
+
 // failure is the error of a call.
 type failure struct {
 	Text string `cbor:"1,keyasint"`
