--- a/internal/supervisor/syncer/odd_test.go
+++ b/internal/supervisor/syncer/odd_test.go
@@ -55,7 +55,7 @@
 // Guards against one record of another writer that keeps nodes from following the endpoints:
 // a key that isn't UTF-8 made every table that was sent to other nodes undecodable.
 func TestOddEntriesDoNotStopTheTable(t *testing.T) {
-	for _, r := range imitator.OddKeys("s", "10.0.1.1:80", "z") {
+	for _, r := range imitator.OddRecords("s", "10.0.1.1:80", "z") {
 		t.Run(r.Name, func(t *testing.T) {
 			t.Run("followed", func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
