Plan without entries whose layers the model doesn't have

Callers would have seen no_pipeline for as long as one such entry was there.

Cause: the arranger took the layer range of an entry as it was.

An entry that holds layers outside of the service's model is left out of the plan.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -37,6 +37,12 @@
 // Holds reports whether the endpoint holds any layers.
 func (e Entry) Holds() bool { return e.Last > e.First }
 
+// FitsModel reports whether the layers held, if any, are among those of a model with a number
+// of layers. An entry with others doesn't describe an engine of that model.
+func (e Entry) FitsModel(layers int) bool {
+	return !e.Holds() || e.First >= 0 && e.Last <= layers
+}
+
 // SameStart reports whether two entries belong to the same start of an endpoint.
 func (e Entry) SameStart(o Entry) bool { return e.ID == o.ID && e.Born == o.Born }
 
--- a/internal/supervisor/arranger/arranger.go
+++ b/internal/supervisor/arranger/arranger.go
@@ -158,7 +158,9 @@
 // assignments returns the orders that a service needs.
 func (a *Arranger) assignments(now time.Time, service mapper.Service, priorities int, table *registrar.Table) []assignment {
 	engine := service.Engine
-	all := slices.DeleteFunc(table.All(), func(e registrar.Entry) bool { return e.Service != service.Name })
+	all := slices.DeleteFunc(table.All(), func(e registrar.Entry) bool {
+		return e.Service != service.Name || !e.FitsModel(engine.Layers)
+	})
 	requests := a.requests(service.Name, NewReserve(engine, priorities, a.cfg.SpareCopies, all))
 	var holders []Holder
 	entries := make(map[string]registrar.Entry)
--- a/internal/supervisor/arranger/arranger_test.go
+++ b/internal/supervisor/arranger/arranger_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -32,6 +33,8 @@
 	// leads is set while the arranger's node leads.
 	leads bool
 	pace  map[string]float64
+	// odd is an entry of another writer; its ID is empty if there is none.
+	odd registrar.Entry
 }
 
 func newFakeEngines(engines int) *fakeEngines {
@@ -77,6 +80,9 @@
 			for id, e := range y.entries {
 				all = append(all, registrar.Change{ID: id, Entry: &e})
 			}
+			if y.odd.ID != "" {
+				all = append(all, registrar.Change{ID: y.odd.ID, Entry: &y.odd})
+			}
 			table := registrar.Table{}.With(time.Now(), time.Now(), all)
 			return &table
 		},
@@ -262,3 +268,37 @@
 		}
 	})
 }
+
+// Guards against one entry with layers that the model doesn't have: it ended every plan with a
+// panic or counted as a holder of all layers, so that no engine was ordered to load.
+func TestOddLayersDoNotStopPlans(t *testing.T) {
+	for _, l := range [][2]int{
+		{0, 81}, {40, 1 << 20}, {-1, 40}, {-40, -1}, {79, 200}, {80, 81}, {100, 200}, {math.MinInt, math.MaxInt},
+	} {
+		t.Run(fmt.Sprintf("%d to %d", l[0], l[1]), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				y := newFakeEngines(44)
+				a := y.arranger()
+				y.run(a, 4*time.Second)
+				y.odd = registrar.Entry{
+					ID: "odd", Service: "llm", Address: "odd", Centre: "a", Accelerator: "l4", Model: "m", Version: "1", First: l[0], Last: l[1],
+				}
+				for id, e := range y.entries {
+					if e.Centre == "a" && e.First <= 50 && e.Last > 50 {
+						delete(y.entries, id) // leaves for good
+					}
+				}
+				if got := y.uncovered("a"); got == 0 {
+					t.Fatal("each layer has a holder, want a gap")
+				}
+				y.run(a, 30*time.Second)
+				if got, want := y.uncovered("a"), 0; got != want {
+					t.Errorf("got %d layers without a holder, want %d", got, want)
+				}
+				if got, want := y.orders["odd"], int64(0); got != want {
+					t.Errorf("got %d orders to the other writer's address, want %d", got, want)
+				}
+			})
+		})
+	}
+}
