Check entries before they affect the index of endpoints

Callers would have seen refusals: with one odd entry a service lacked an endpoint, or streams asked for a version that no engine holds.

Cause: the index dropped the entries whose address has a later start before it looked whether that start is of a service of the configuration, so that an entry of a service that isn't there hid a server. Layers were not compared with the model's: one entry with 0 to 1048576 made its version the one with the most layers, which new streams use.

Only entries of a service of the configuration, whose layers are the model's, count now; what an address belongs to is decided among those. An old entry of an address that was given to a service which no configuration names is used again: the server there refuses its ID with 421 and runs nothing.

--- a/internal/supervisor/forwarder/fleet.go
+++ b/internal/supervisor/forwarder/fleet.go
@@ -44,11 +44,8 @@
 		table: table, configuration: cfg,
 		services: make(map[string]*members),
 	}
-	for _, e := range dropReplaced(table.All()) {
-		service, ok := cfg.Service(e.Service)
-		if !ok {
-			continue
-		}
+	for _, e := range dropReplaced(usableEntries(table, cfg)) {
+		service, _ := cfg.Service(e.Service)
 		m := index.services[e.Service]
 		if m == nil {
 			m = newMembers(service, cfg.Priorities(e.Service))
@@ -72,6 +69,15 @@
 	return m
 }
 
+// usableEntries returns the entries that describe an endpoint of a service of the
+// configuration. Those left by other programs must not affect the others.
+func usableEntries(table *registrar.Table, cfg *mapper.Configuration) []registrar.Entry {
+	return slices.DeleteFunc(table.All(), func(e registrar.Entry) bool {
+		service, ok := cfg.Service(e.Service)
+		return !ok || service.Engine != nil && service.Engine.Layers > 0 && !e.FitsModel(service.Engine.Layers)
+	})
+}
+
 // dropReplaced removes the entries whose address belongs to an endpoint that
 // started later.
 func dropReplaced(entries []registrar.Entry) []registrar.Entry {
