Pass on only answers that are the endpoint's own

Cause: any answer from 300 on passed as the endpoint's, since its failures may be unsigned, and one below 500 counted as a success, so that the address was never suspected. Streams passed such failures on as well. Endpoints repeat X-Request-Id in their responses, which another program at the address doesn't.

A failure is the endpoint's now if it is signed or repeats the ID of the request. Any other one ends the attempt as one that may have run: a request that may be repeated goes to another endpoint, others end with 502, which promises nothing; the endpoint is suspected. Such an answer doesn't count as proof that the request is sound either (not shown by a test). Refusals marked as not executed, and 421, are used as before. A node of an older build doesn't tell of the echo when it calls an endpoint for another node, so that unsigned failures by way of it end with 502.

Tests: with the old rule, four cases of TestPlainService, two of TestForeignAnswersToStreams, three of TestReplies and all requests to the other program in TestForeignAnswersCountAgainstTheEndpoint failed ("got status 404, want 502"). TestReplies checks its former cases as before; their replies repeat the ID, as those of endpoints do.

--- a/internal/driver/relay.go
+++ b/internal/driver/relay.go
@@ -72,11 +72,19 @@
 	Backoff time.Duration `cbor:"9,keyasint,omitempty"`
 	// Leaving is set if the response says that the endpoint leaves.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
+	// Echoed is set if the response repeats the request's ID, as all of an endpoint do.
+	Echoed bool `cbor:"11,keyasint,omitempty"`
 	// Via is the address of the node by way of which the endpoint was called; empty if it
 	// was called directly.
 	Via string `cbor:"-"`
 }
 
+// Authentic reports whether the response is the endpoint's. Its failures may be unsigned; one
+// that doesn't repeat the request's ID either comes from another program at the address.
+func (r Reply) Authentic() bool {
+	return r.Signed || r.Echoed && r.Status >= http.StatusMultipleChoices
+}
+
 // Report is an engine's report of its own state; it is a few hundred ms old.
 type Report struct {
 	Orders  int64 `cbor:"1,keyasint,omitempty"`
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -317,7 +317,7 @@
 	f.countRun(c, s, f.prober.stopped(first.Address))
 	f.markSuspect(first.ID, first.Address, failureBackoff, "failed")
 	c.tried[first.ID] = true
-	if err == nil && deliverableStatus(reply) && reply.Status >= http.StatusMultipleChoices {
+	if err == nil && reply.Authentic() && deliverableStatus(reply) && reply.Status >= http.StatusMultipleChoices {
 		c.failure = &failure{reply: reply, body: body}
 	}
 	f.cfg.Recorder.Info(recorder.AttemptFailed,
--- a/internal/supervisor/forwarder/generate_test.go
+++ b/internal/supervisor/forwarder/generate_test.go
@@ -123,6 +123,39 @@
 	}
 }
 
+// Guards against the failure of a program that is no engine, which was passed on as an
+// engine's: callers don't ask again after a 404.
+func TestForeignAnswersToStreams(t *testing.T) {
+	cases := []struct {
+		name   string
+		reply  driver.Reply
+		status int
+	}{
+		{"an engine's failure", driver.Reply{Status: 404, Echoed: true}, 404},
+		{"another program's failure", driver.Reply{Status: 404}, 502},
+		{"another program's redirect", driver.Reply{Status: 302}, 502},
+		{"another program's success", driver.Reply{Status: 200}, 502},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, entries := engines(map[string][][2]int{"a": {{0, 80}}})
+				w := newHarness(t, driver.Relay{
+					Probe: acceptConnections,
+					Send: func(context.Context, string, driver.Forward) (driver.Reply, error) {
+						reply := c.reply
+						reply.Header, reply.Body = http.Header{}, io.NopCloser(strings.NewReader("x"))
+						return reply, nil
+					},
+				}, entries...)
+				if got, want := w.send(t.Context(), "POST", pathLLM+"1", "r1", "800,200").Code, c.status; got != want {
+					t.Errorf("status: got %d, want %d", got, want)
+				}
+			})
+		})
+	}
+}
+
 // All nodes start again at the same moment, and all callers reconnect at once.
 // Nodes that don't know of each other must not all choose the fastest engine.
 func TestStartingNodesSpreadTheirStreams(t *testing.T) {
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -51,10 +51,9 @@
 	return o.err == nil && o.reply.Status < http.StatusInternalServerError && !o.notRun && o.authentic()
 }
 
-// authentic reports whether the answer may come from the service. A successful answer
-// must be signed.
+// authentic reports whether the answer is complete and the endpoint's own.
 func (o outcome) authentic() bool {
-	return o.err == nil && (o.reply.Signed || o.reply.Status >= http.StatusMultipleChoices)
+	return o.err == nil && o.reply.Authentic()
 }
 
 // deliverable reports whether the answer may be passed on to the caller.
@@ -195,7 +194,7 @@
 	crashed := f.crashed(ctx, c, e, o)
 	if crashed {
 		f.cfg.Quarantine.RecordCrash(quarantiner.Crash{Endpoint: e.ID, Request: c.content, Sent: began, Answering: true})
-	} else if o.err == nil && !o.notRun {
+	} else if o.authentic() && !o.notRun {
 		f.cfg.Quarantine.RecordSound(c.content)
 	}
 	switch {
--- a/internal/supervisor/forwarder/plain_test.go
+++ b/internal/supervisor/forwarder/plain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -32,6 +33,13 @@
 	}
 }
 
+// echoedReply returns an unsigned reply that repeats the request's ID.
+func echoedReply(status int) script {
+	return func(driver.Forward) (driver.Reply, error) {
+		return driver.Reply{Status: status, Echoed: true, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x"))}, nil
+	}
+}
+
 func brokenConnection(driver.Forward) (driver.Reply, error) {
 	return driver.Reply{}, errors.New("reset")
 }
@@ -86,6 +94,12 @@
 		{"a refusal of a request that may have run does not", "POST", pathPut, []script{unsignedReply(503, false)}, 502, 1, false},
 		{"nor does a 429 without the endpoint's statement", "POST", pathPut, []script{signedReply(429, "later")}, 502, 1, false},
 		{"a success that the service did not sign is not passed on", "POST", pathPut, []script{unsignedReply(200, false)}, 502, 1, false},
+		{"not even if it repeats the request's ID", "POST", pathPut, []script{echoedReply(200)}, 502, 1, false},
+		{"the service's unsigned failure is passed on", "POST", pathPut, []script{echoedReply(404)}, 404, 1, false},
+		{"that of another program at the address is not", "POST", pathPut, []script{unsignedReply(404, false), signedReply(200, "ok")}, 502, 1, false},
+		{"nor is its redirect", "POST", pathPut, []script{unsignedReply(302, false), signedReply(200, "ok")}, 502, 1, false},
+		{"an idempotent request goes on to an endpoint", "GET", pathGet, []script{unsignedReply(404, false), signedReply(200, "ok")}, 200, 2, true},
+		{"and ends with an endpoint's failure if it has one", "GET", pathGet, []script{unsignedReply(404, false), echoedReply(500)}, 500, 2, false},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -112,6 +126,34 @@
 	}
 }
 
+// Guards against a program that is no endpoint and keeps getting requests, since its failures
+// below 500 counted as successes.
+func TestForeignAnswersCountAgainstTheEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent := map[string]int{}
+		w := newHarness(t, driver.Relay{
+			Probe: func(context.Context, string) error { return nil },
+			Send: func(_ context.Context, address string, f driver.Forward) (driver.Reply, error) {
+				sent[address]++
+				if address == "d1:1" {
+					return unsignedReply(404, false)(f)
+				}
+				return signedReply(200, "ok")(f)
+			},
+		}, plainEntries()...)
+		for n := range 40 {
+			a := w.send(t.Context(), "POST", pathPut+"1", fmt.Sprint("r", n), "")
+			if a.Code != 200 && a.Code != 502 {
+				t.Errorf("request %d: got status %d, want 200 or 502", n, a.Code)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		if got, want := sent["d1:1"], 5; got > want {
+			t.Errorf("requests to the other program: got %d of 40, want at most %d", got, want)
+		}
+	})
+}
+
 // Guards against requests that are refused for want of a retry though no endpoint has got
 // them yet.
 func TestUnsentRequestsDrawNoRetries(t *testing.T) {
