End no stream by a later answer without events

Cause: the end of any answer ended the stream, also of one that had added nothing. Nothing in the protocol marks a stream's last event: X-Token-Usage names the maximum only. An answer without events to a request that continues a stream is therefore the truth only if the stream broke off behind its last event, and can't be told from an engine that lost the rest. Change: such an answer ends the stream only if the caller has as many events as its request allows. Otherwise it counts as a failed attempt, another engine is asked if the route allows one, and after that the connection is closed. The engine is not taken for suspect, since it may be right. A caller that resumes a stream gets an empty answer as the engine's own, as before. The cost: a stream that breaks off between its last event and the end of its body, with fewer tokens than allowed, is cut off; its caller resumes it and gets the empty answer.

--- a/internal/supervisor/forwarder/events.go
+++ b/internal/supervisor/forwarder/events.go
@@ -31,6 +31,7 @@
 	errTruncated     = trace.BadParameter("the stream ended within an event")
 	errEventTooLarge = trace.LimitExceeded("an event exceeds %d bytes", maxEventBytes)
 	errNotInOrder    = trace.BadParameter("an event has no ID, or none that follows the last one")
+	errNotContinued  = trace.BadParameter("the answer has no event, and the stream that it continues lacks some")
 )
 
 // follows reports whether an event's ID may come after that of the previous event,
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -314,7 +314,9 @@
 	if stopped {
 		f.recordCrash(c, s.snapshot(), broken)
 	}
-	if !cutOff && !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) && !errors.Is(cause, errQuarantined) {
+	if errors.Is(broken.err, errNotContinued) {
+		c.tried[first.ID] = true // and not suspect: the stream may have been complete
+	} else if !cutOff && !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) && !errors.Is(cause, errQuarantined) {
 		// A stall has been attributed to the endpoint at fault already.
 		f.markSuspect(first.ID, first.Address, failureBackoff, "failed")
 		f.assessor.Failed(first.ID)
@@ -375,6 +377,9 @@
 	for {
 		e, err := nextEvent(r, buf)
 		if errors.Is(err, io.EOF) {
+			if state := s.snapshot(); c.answered && state.attemptEvents == 0 && !c.atMaximum(state.events) {
+				return errNotContinued
+			}
 			if !c.answered {
 				c.writeHead(f, s, reply)
 			}
@@ -409,6 +414,17 @@
 	}
 }
 
+// atMaximum reports whether a number of events is the most that the request allows. Nothing in
+// a stream marks its last event, so that a shorter one is known to be complete only by the end
+// of the answer that it is in.
+func (c *call) atMaximum(events int) bool {
+	tokens := events
+	if c.members.layered() {
+		tokens *= max(c.members.service.Engine.TokensPerEvent, 1)
+	}
+	return c.MaxAnswerTokens > 0 && c.LastEventID == "" && tokens >= c.MaxAnswerTokens
+}
+
 // writeHead writes the head of a stream's answer.
 func (c *call) writeHead(f *Forwarder, s *session, reply driver.Reply) {
 	c.copyHeader(reply)
