Join no events whose IDs can't be compared

Cause: IDs of which one isn't a number counted as in order if they differed. Change: after an ID that is a number, another kind of ID is out of order. IDs that aren't numbers are accepted within one engine's answer only, since they don't tell whether another engine begins again; a stream with such IDs that breaks off is cut off, and its caller may resume it.

--- a/internal/supervisor/forwarder/events.go
+++ b/internal/supervisor/forwarder/events.go
@@ -35,17 +35,23 @@
 )
 
 // follows reports whether an event's ID may come after that of the previous event,
-// which is empty if there is none. IDs increase.
-func follows(previous, id string) bool {
-	if id == "" {
-		return false
+// which is empty if there is none. IDs increase. Those that aren't numbers can't be compared;
+// such events are in order only as one endpoint sent them. continued is set if the previous
+// event is of another endpoint's answer.
+func follows(previous, id string, continued bool) bool {
+	if id == "" || previous == "" {
+		return id != ""
 	}
 	before, err1 := strconv.ParseUint(previous, 10, 64)
 	after, err2 := strconv.ParseUint(id, 10, 64)
-	if err1 != nil || err2 != nil {
+	switch {
+	case err1 == nil && err2 == nil:
+		return after > before
+	case err1 == nil || continued:
+		return false
+	default:
 		return id != previous
 	}
-	return after > before
 }
 
 // nextEvent reads an event into buf. It returns io.EOF at the end of the stream,
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -374,6 +374,7 @@
 	r := bufio.NewReaderSize(reply.Body, streamBuffer)
 	out := http.NewResponseController(c.w)
 	var buf []byte
+	continued := c.answered
 	for {
 		e, err := nextEvent(r, buf)
 		if errors.Is(err, io.EOF) {
@@ -395,7 +396,7 @@
 		if e.empty {
 			continue // keeps the connection open and is no progress
 		}
-		if !follows(c.lastEventID, e.id) {
+		if !follows(c.lastEventID, e.id, continued) {
 			return errNotInOrder
 		}
 		if !c.answered {
@@ -407,7 +408,7 @@
 		if err := out.Flush(); err != nil {
 			return trace.ConnectionProblem(err, "writing to the caller")
 		}
-		c.lastEventID, c.lastWrite = e.id, f.cfg.Now()
+		c.lastEventID, c.lastWrite, continued = e.id, f.cfg.Now(), false
 		if s.recordEvent(f.cfg.Now()) == quarantiner.ProvenEvents {
 			f.cfg.Quarantine.RecordSound(c.content)
 		}
