Continue a stream with its next event only

Cause: any higher ID counted as in order. The protocol says that IDs increase, not that they rise by one, so that a missing event can't be told in general. Change: if the IDs of all events that the caller got rise by one, at least two times, the first event of an answer that continues them has to be the next one. Within one engine's answer nothing changes, and streams with other steps are continued with any higher ID. Evidence: "an event is skipped" of TestBrokenStreamGetsNothingOfAnotherAnswer fails without the change and passes with it. TestUnevenIDsAreJoined passes before and after.

--- a/internal/supervisor/forwarder/events.go
+++ b/internal/supervisor/forwarder/events.go
@@ -31,6 +31,7 @@
 	errTruncated     = trace.BadParameter("the stream ended within an event")
 	errEventTooLarge = trace.LimitExceeded("an event exceeds %d bytes", maxEventBytes)
 	errNotInOrder    = trace.BadParameter("an event has no ID, or none that follows the last one")
+	errSkipped       = trace.BadParameter("events are missing before the first one of the answer that continues the stream")
 	errNotContinued  = trace.BadParameter("the answer has no event, and the stream that it continues lacks some")
 )
 
@@ -54,6 +55,38 @@
 	}
 }
 
+// minSteps is the number of steps from one ID to the next after which IDs are taken to rise by
+// one. The protocol says only that they increase.
+const minSteps = 2
+
+// numbering is how the IDs of a stream's events rise. It is an immutable value.
+type numbering struct {
+	// steps counts the steps from an event to the next; uneven is set after one by more than one.
+	steps  int
+	uneven bool
+}
+
+// with returns the numbering after another event of a stream.
+func (n numbering) with(previous, id string) numbering {
+	if previous == "" {
+		return n
+	}
+	return numbering{steps: n.steps + 1, uneven: n.uneven || !isNext(previous, id)}
+}
+
+// skips reports whether events are missing between two events of a stream, as far as its
+// numbering tells.
+func (n numbering) skips(previous, id string) bool {
+	return n.steps >= minSteps && !n.uneven && !isNext(previous, id)
+}
+
+// isNext reports whether an ID is the previous one plus one.
+func isNext(previous, id string) bool {
+	before, err1 := strconv.ParseUint(previous, 10, 64)
+	after, err2 := strconv.ParseUint(id, 10, 64)
+	return err1 == nil && err2 == nil && after == before+1
+}
+
 // nextEvent reads an event into buf. It returns io.EOF at the end of the stream,
 // and errTruncated for a stream that ends within an event.
 func nextEvent(r *bufio.Reader, buf []byte) (event, error) {
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -204,6 +204,8 @@
 	// lastEventID is the ID of the last event that the caller has. This field and
 	// those below belong to the request's goroutine.
 	lastEventID string
+	// numbering is how the IDs of the events rise that the caller got.
+	numbering numbering
 	// tried holds the IDs of the endpoints that are not tried again.
 	tried map[string]bool
 	// refusedBy holds those of them that refused the request and may have room later.
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -396,8 +396,8 @@
 		if e.empty {
 			continue // keeps the connection open and is no progress
 		}
-		if !follows(c.lastEventID, e.id, continued) {
-			return errNotInOrder
+		if err := c.checkOrder(e.id, continued); err != nil {
+			return err
 		}
 		if !c.answered {
 			c.writeHead(f, s, reply)
@@ -408,6 +408,7 @@
 		if err := out.Flush(); err != nil {
 			return trace.ConnectionProblem(err, "writing to the caller")
 		}
+		c.numbering = c.numbering.with(c.lastEventID, e.id)
 		c.lastEventID, c.lastWrite, continued = e.id, f.cfg.Now(), false
 		if s.recordEvent(f.cfg.Now()) == quarantiner.ProvenEvents {
 			f.cfg.Quarantine.RecordSound(c.content)
@@ -415,6 +416,19 @@
 	}
 }
 
+// checkOrder checks that an event may be the next one that the caller gets. continued is set
+// for the first event of an answer that continues another endpoint's.
+func (c *call) checkOrder(id string, continued bool) error {
+	switch {
+	case !follows(c.lastEventID, id, continued):
+		return errNotInOrder
+	case continued && c.numbering.skips(c.lastEventID, id):
+		return errSkipped
+	default:
+		return nil
+	}
+}
+
 // atMaximum reports whether a number of events is the most that the request allows. Nothing in
 // a stream marks its last event, so that a shorter one is known to be complete only by the end
 // of the answer that it is in.
