Relay no event with the head of another answer in it

Cause: an engine whose answer has no framing (no length, no chunks) failed within an event and wrote a second answer; the blank line behind its head looked like the end of the event. Change: a line that begins with "HTTP/1." ends the attempt, and the stream continues elsewhere from the last event before. No field of an event has such a name. A head that follows bytes of the same line can't be told from the event's data. Evidence: "a head within an event" of TestBrokenStreamGetsNothingOfAnotherAnswer and "with a failure head within an event" of TestStreamContinuesHoweverItBreaksOff fail without the change and pass with it.

--- a/internal/supervisor/forwarder/events.go
+++ b/internal/supervisor/forwarder/events.go
@@ -28,8 +28,10 @@
 	idField          = []byte("id:")
 	comment          = byte(':')
 	newline          = byte('\n')
+	headStart        = []byte("HTTP/1.")
 	errTruncated     = trace.BadParameter("the stream ended within an event")
 	errEventTooLarge = trace.LimitExceeded("an event exceeds %d bytes", maxEventBytes)
+	errHeadInEvent   = trace.BadParameter("the head of another answer is within an event")
 	errNotInOrder    = trace.BadParameter("an event has no ID, or none that follows the last one")
 	errSkipped       = trace.BadParameter("events are missing before the first one of the answer that continues the stream")
 	errNotContinued  = trace.BadParameter("the answer has no event, and the stream that it continues lacks some")
@@ -88,7 +90,8 @@
 }
 
 // nextEvent reads an event into buf. It returns io.EOF at the end of the stream,
-// and errTruncated for a stream that ends within an event.
+// errTruncated for a stream that ends within an event, and errHeadInEvent if a line is the
+// first one of another answer.
 func nextEvent(r *bufio.Reader, buf []byte) (event, error) {
 	e := event{data: buf[:0], empty: true}
 	start := 0
@@ -112,6 +115,10 @@
 		if len(text) == 0 {
 			return e, nil
 		}
+		if bytes.HasPrefix(text, headStart) {
+			// An endpoint that fails within an answer without framing may write a second one.
+			return e, errHeadInEvent
+		}
 		e.empty = e.empty && text[0] == comment
 		if id, ok := bytes.CutPrefix(text, idField); ok {
 			e.id = string(bytes.TrimPrefix(id, []byte(" ")))
