Continue a stream with the same weights and kind of body only

Cause: of the head of an answer that continues a stream only status and signature were looked at. Change: such an answer counts as a failed attempt if it names another version, another type or has another encoding. One that names no version or type is accepted, as before. Evidence: "other weights", "another encoding" and "another type" of TestBrokenStreamGetsNothingOfAnotherAnswer fail without the change and pass with it.

--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -255,7 +256,9 @@
 		return false, f.attemptFailed(c, s, reply, began)
 	}
 	f.assessor.Accepted(ids(path))
-	err = f.relayEvents(ctx, c, s, reply)
+	if err = c.checkHead(s, reply); err == nil {
+		err = f.relayEvents(ctx, c, s, reply)
+	}
 	if err == nil {
 		c.runs++
 		f.assessor.Succeeded(path[0].ID, f.cfg.Now().Sub(began))
@@ -416,6 +419,33 @@
 	}
 }
 
+// checkHead checks that an answer can continue the one whose head the caller has: that it is
+// of the same weights, and that its body has the same encoding and, if both name one, type.
+func (c *call) checkHead(s *session, reply driver.Reply) error {
+	if !c.answered {
+		return nil
+	}
+	const contentType, contentEncoding = "Content-Type", "Content-Encoding"
+	begun := c.w.Header()
+	if s.version != "" && reply.Version != "" && reply.Version != s.version {
+		return trace.BadParameter("the stream began with version %s of the weights, the answer has %.40q", s.version, reply.Version)
+	}
+	if got, want := reply.Header.Get(contentEncoding), begun.Get(contentEncoding); got != want {
+		return trace.BadParameter("the stream began with encoding %q, the answer has %.40q", want, got)
+	}
+	got, want := mediaType(reply.Header.Get(contentType)), mediaType(begun.Get(contentType))
+	if got != "" && want != "" && got != want {
+		return trace.BadParameter("the stream began with type %q, the answer has %.40q", want, got)
+	}
+	return nil
+}
+
+// mediaType returns a header's value without its parameters.
+func mediaType(value string) string {
+	value, _, _ = strings.Cut(value, ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
 // checkOrder checks that an event may be the next one that the caller gets. continued is set
 // for the first event of an answer that continues another endpoint's.
 func (c *call) checkOrder(id string, continued bool) error {
