Reset callers of HTTP/1.0 whose stream is cut off

Cause: HTTP/1.0 has no chunks; a stream's end is that of its connection, which net/http closes in the normal way when a handler aborts. Change: the node takes over such a connection and resets it. Callers of HTTP/1.1 get chunks, and miss the last one, as before. The end of a node's process is not covered: its connections are closed by the system.

--- a/internal/supervisor/forwarder/answer.go
+++ b/internal/supervisor/forwarder/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 
@@ -18,6 +19,7 @@
 func (f *Forwarder) refuse(c *call, r refuser.Refusal) {
 	f.recordRefusal(c, r)
 	if c.answered {
+		c.resetOldCaller()
 		panic(http.ErrAbortHandler)
 	}
 	if r.Code == refuser.CallerLeft {
@@ -37,6 +39,23 @@
 	_, _ = c.w.Write(body)
 }
 
+// resetOldCaller resets the connection of a caller that speaks HTTP/1.0. It has no chunks, so
+// that an answer without a length that is cut off would look complete if its connection were
+// closed.
+func (c *call) resetOldCaller() {
+	if c.r.ProtoAtLeast(1, 1) {
+		return
+	}
+	conn, _, err := http.NewResponseController(c.w).Hijack()
+	if err != nil {
+		return // not a connection of HTTP/1
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // callerLeft returns the refusal of a request whose caller has disconnected. It
 // shows only in the log and the counters.
 func (c *call) callerLeft() refuser.Refusal {
