Take no answer that has begun by way of another node for unsent

A node by way of which a stream arrives could say, after the head of the answer, that the call was unsent or refused, or begin a second answer. Cause: a failure within a body became the error of a call, and a second answer's parts were appended. Change: a failure within a body always means that the request may have run, and a second answer ends the body with an error. Evidence: four of six cases of TestDetourThatFailsWithinAnAnswer fail without the change and pass with it.

--- a/internal/supervisor/detourer/client.go
+++ b/internal/supervisor/detourer/client.go
@@ -139,7 +139,10 @@
 	case err != nil:
 		b.err = err
 	case m.Failure != nil:
-		b.err = m.Failure.err()
+		// Whatever it says, the request was sent: its answer has begun.
+		b.err = trace.ConnectionProblem(nil, "%s", m.Failure.Text)
+	case m.Reply != nil:
+		b.err = trace.BadParameter("another answer began within this one")
 	case m.End:
 		b.err = io.EOF
 	default:
--- a/internal/supervisor/detourer/detourer_test.go
+++ b/internal/supervisor/detourer/detourer_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"banyanquay/internal/driver"
+	"banyanquay/internal/encoder"
+	"banyanquay/internal/supervisor/linker"
 )
 
 // Guards against a node that is cut off from endpoints and refuses what other nodes can
@@ -273,3 +276,43 @@
 		w.nodes["a"].Serve(t.Context(), query, func([]byte) error { return nil })
 	})
 }
+
+// A node by way of which a stream arrives reports, after the head of the answer, that the call
+// was not sent or was refused, or begins another answer. The request has arrived by then: the
+// body must end with an error of another kind, or a request that may not run again is sent again.
+func TestDetourThatFailsWithinAnAnswer(t *testing.T) {
+	reply := &driver.Reply{Status: 200, Signed: true}
+	part := func(text string) message { return message{Data: []byte(text)} }
+	cases := []struct {
+		name     string
+		messages []message
+	}{
+		{"unsent", []message{{Failure: &failure{Text: "unsent", Unsent: true}}}},
+		{"unable", []message{{Failure: unable("the node is stopping")}}},
+		{"refused", []message{{Failure: &failure{Text: "refused", Refused: &driver.Refused{Reason: driver.ReasonState}}}}},
+		{"reset", []message{{Failure: &failure{Text: "reset"}}}},
+		{"the connection ends", nil},
+		{"another answer", []message{{Reply: reply}, part("other"), {End: true}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			messages := append([]message{part("begun")}, c.messages...)
+			b := &body{conn: linker.Conn{Close: func() {}, Receive: func() ([]byte, error) {
+				if len(messages) == 0 {
+					return nil, io.ErrUnexpectedEOF
+				}
+				m := messages[0]
+				messages = messages[1:]
+				return encoder.CBOR(m)
+			}}}
+			got, err := io.ReadAll(b)
+			if want := "begun"; string(got) != want || err == nil {
+				t.Errorf("got %q, error %v, want %q and an error", got, err, want)
+			}
+			var refused *driver.Refused
+			if isUnsent(err) || errors.As(err, &refused) {
+				t.Errorf("error: got %T %v, want one that says that the request may have run", err, err)
+			}
+		})
+	}
+}
