Relay no interim status as the answer of a plain service

The transport returns 101 alone of all interim answers. Cause: any signed status below 500 counted as a final answer. Change: an answer with a status below 200 counts as none: another endpoint is asked if the request may be repeated, else the caller gets 502.

--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -52,9 +52,9 @@
 }
 
 // authentic reports whether the answer may come from the service. A successful answer
-// must be signed.
+// must be signed. 101 is the only interim status that the transport returns; no request asks for it.
 func (o outcome) authentic() bool {
-	return o.err == nil && (o.reply.Signed || o.reply.Status >= http.StatusMultipleChoices)
+	return o.err == nil && o.reply.Status >= http.StatusOK && (o.reply.Signed || o.reply.Status >= http.StatusMultipleChoices)
 }
 
 // deliverable reports whether the answer may be passed on to the caller.
