--- a/internal/supervisor/detourer/client.go
+++ b/internal/supervisor/detourer/client.go
@@ -149,8 +149,10 @@
 	case err != nil:
 		b.err = err
 	case m.Failure != nil:
-		// Not m.Failure.err(), which may say that nothing was sent: the answer has begun.
+		// Whatever it says, the request was sent: its answer has begun.
 		b.err = trace.ConnectionProblem(nil, "%s", m.Failure.Text)
+	case m.Reply != nil:
+		b.err = trace.BadParameter("another answer began within this one")
 	case m.End:
 		b.err = io.EOF
 	default:
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -255,7 +256,9 @@
 		return false, f.attemptFailed(c, s, reply, began)
 	}
 	f.assessor.Accepted(ids(path))
-	err = f.relayEvents(ctx, c, s, reply)
+	if err = c.checkHead(s, reply); err == nil {
+		err = f.relayEvents(ctx, c, s, reply)
+	}
 	if err == nil {
 		c.runs++
 		f.assessor.Succeeded(path[0].ID, f.cfg.Now().Sub(began))
@@ -314,7 +317,9 @@
 	if stopped {
 		f.recordCrash(c, s.snapshot(), broken)
 	}
-	if !cutOff && !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) && !errors.Is(cause, errQuarantined) {
+	if errors.Is(broken.err, errNotContinued) {
+		c.tried[first.ID] = true // and not suspect: the stream may have been complete
+	} else if !cutOff && !errors.Is(cause, errStalled) && !errors.Is(cause, errDeadline) && !errors.Is(cause, errQuarantined) {
 		// A stall has been attributed to the endpoint at fault already.
 		f.markSuspect(first.ID, first.Address, failureBackoff, "failed")
 		f.assessor.Failed(first.ID)
@@ -372,9 +377,13 @@
 	r := bufio.NewReaderSize(reply.Body, streamBuffer)
 	out := http.NewResponseController(c.w)
 	var buf []byte
+	continued := c.answered
 	for {
 		e, err := nextEvent(r, buf)
 		if errors.Is(err, io.EOF) {
+			if state := s.snapshot(); c.answered && state.attemptEvents == 0 && !c.atMaximum(state.events) {
+				return errNotContinued
+			}
 			if !c.answered {
 				c.writeHead(f, s, reply)
 			}
@@ -390,8 +399,8 @@
 		if e.empty {
 			continue // keeps the connection open and is no progress
 		}
-		if !follows(c.lastEventID, e.id) {
-			return errNotInOrder
+		if err := c.checkOrder(e.id, continued); err != nil {
+			return err
 		}
 		if !c.answered {
 			c.writeHead(f, s, reply)
@@ -402,13 +411,65 @@
 		if err := out.Flush(); err != nil {
 			return trace.ConnectionProblem(err, "writing to the caller")
 		}
-		c.lastEventID, c.lastWrite = e.id, f.cfg.Now()
+		c.numbering = c.numbering.with(c.lastEventID, e.id)
+		c.lastEventID, c.lastWrite, continued = e.id, f.cfg.Now(), false
 		if s.recordEvent(f.cfg.Now()) == quarantiner.ProvenEvents {
 			f.cfg.Quarantine.RecordSound(c.content)
 		}
 	}
 }
 
+// checkHead checks that an answer can continue the one whose head the caller has: that it is
+// of the same weights, and that its body has the same encoding and, if both name one, type.
+func (c *call) checkHead(s *session, reply driver.Reply) error {
+	if !c.answered {
+		return nil
+	}
+	const contentType, contentEncoding = "Content-Type", "Content-Encoding"
+	begun := c.w.Header()
+	if s.version != "" && reply.Version != "" && reply.Version != s.version {
+		return trace.BadParameter("the stream began with version %s of the weights, the answer has %.40q", s.version, reply.Version)
+	}
+	if got, want := reply.Header.Get(contentEncoding), begun.Get(contentEncoding); got != want {
+		return trace.BadParameter("the stream began with encoding %q, the answer has %.40q", want, got)
+	}
+	got, want := mediaType(reply.Header.Get(contentType)), mediaType(begun.Get(contentType))
+	if got != "" && want != "" && got != want {
+		return trace.BadParameter("the stream began with type %q, the answer has %.40q", want, got)
+	}
+	return nil
+}
+
+// mediaType returns a header's value without its parameters.
+func mediaType(value string) string {
+	value, _, _ = strings.Cut(value, ";")
+	return strings.ToLower(strings.TrimSpace(value))
+}
+
+// checkOrder checks that an event may be the next one that the caller gets. continued is set
+// for the first event of an answer that continues another endpoint's.
+func (c *call) checkOrder(id string, continued bool) error {
+	switch {
+	case !follows(c.lastEventID, id, continued):
+		return errNotInOrder
+	case continued && c.numbering.skips(c.lastEventID, id):
+		return errSkipped
+	default:
+		return nil
+	}
+}
+
+// atMaximum reports whether a number of events is the most that the request allows. Nothing in
+// a stream marks its last event, so that a shorter one is known to be complete only by the end
+// of the answer that it is in.
+func (c *call) atMaximum(events int) bool {
+	tokens := events
+	if c.members.layered() {
+		tokens *= max(c.members.service.Engine.TokensPerEvent, 1)
+	}
+	return c.MaxAnswerTokens > 0 && c.LastEventID == "" && tokens >= c.MaxAnswerTokens
+}
+
 // writeHead writes the head of a stream's answer.
 func (c *call) writeHead(f *Forwarder, s *session, reply driver.Reply) {
 	c.copyHeader(reply)
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -51,9 +51,10 @@
 	return o.err == nil && o.reply.Status < http.StatusInternalServerError && !o.notRun && o.authentic()
 }
 
-// authentic reports whether the answer is complete and the endpoint's own.
+// authentic reports whether the answer is complete and the endpoint's own. 101 is the only
+// interim status that the transport returns; no request asks for it.
 func (o outcome) authentic() bool {
-	return o.err == nil && o.reply.Authentic()
+	return o.err == nil && o.reply.Status >= http.StatusOK && o.reply.Authentic()
 }
 
 // deliverable reports whether the answer may be passed on to the caller.
