Make sound endpoints silent in the soak, and change routes, timeouts and idle limits

The soak couldn't show it: it changed keys only, and its endpoints were never silent without losing bytes.

The fault "silence" holds all bytes of a share of the endpoints for 0.8 to 1.4 s and then passes them on; half of the silences affect all endpoints. "change" writes a configuration with another set of routes and weights, timeout or idle limit.

--- a/internal/soaker/causer.go
+++ b/internal/soaker/causer.go
@@ -58,7 +58,9 @@
 		r.updateSwitches(f.Kind, -1)
 	case scheduler.StoreCompact:
 		r.site.Compact()
-	case scheduler.Revoke, scheduler.Leave, scheduler.StoreRestore, scheduler.Limit:
+	case scheduler.Silence:
+		r.injectSilence(ctx, f)
+	case scheduler.Revoke, scheduler.Leave, scheduler.StoreRestore, scheduler.Limit, scheduler.Change:
 		r.injectSite(ctx, f)
 	default:
 		p := r.storeProxies[f.Target%len(r.storeProxies)]
@@ -91,6 +93,29 @@
 		r.site.Limit(endpointLimit, address)
 		grouper.Sleep(ctx, f.Duration)
 		r.site.Limit(0, address)
+	case scheduler.Change:
+		r.site.Change(changes[f.Target])
+	}
+}
+
+// changes are the changes of the configuration that are drawn. All timeouts are longer
+// than callers wait, and idle limits than the pauses of callers between requests.
+var changes = [scheduler.Changes]imitator.Change{imitator.ChangeRoutes, imitator.ChangeTimeout, imitator.ChangeIdle}
+
+// injectSilence makes a share of the endpoints silent, at least one. They lose nothing
+// and go on.
+func (r *run) injectSilence(ctx context.Context, f scheduler.Fault) {
+	n := max(int(f.Share*float64(len(r.endpointProxies))), 1)
+	var silent []*proxier.Proxy
+	for i := range n {
+		silent = append(silent, r.endpointProxies[(f.Target+i)%len(r.endpointProxies)])
+	}
+	for _, p := range silent {
+		p.Hold()
+	}
+	grouper.Sleep(ctx, f.Duration)
+	for _, p := range silent {
+		p.Release()
 	}
 }
 
--- a/internal/soaker/proxier/proxier.go
+++ b/internal/soaker/proxier/proxier.go
@@ -45,6 +45,10 @@
 	mode  Mode
 	delay time.Duration
 	conns map[*net.TCPConn]bool
+	// holds counts the calls of Hold without a Release; released is closed when the last
+	// one is released, and nil if there is none.
+	holds    int
+	released chan struct{}
 }
 
 // New returns a proxy that doesn't listen yet.
@@ -69,6 +73,41 @@
 	}
 }
 
+// Hold makes the proxy pass nothing on in either direction, the ends of connections
+// included, until Release is called as often. Nothing is lost, and connections are
+// accepted meanwhile. It is independent of the mode.
+func (p *Proxy) Hold() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.holds++; p.holds == 1 {
+		p.released = make(chan struct{})
+	}
+}
+
+// Release ends a Hold.
+func (p *Proxy) Release() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.holds--; p.holds == 0 {
+		close(p.released)
+		p.released = nil
+	}
+}
+
+// awaitRelease waits until nothing holds the connections, or ctx ends.
+func (p *Proxy) awaitRelease(ctx context.Context) {
+	p.mu.Lock()
+	released := p.released
+	p.mu.Unlock()
+	if released == nil {
+		return
+	}
+	select {
+	case <-released:
+	case <-ctx.Done():
+	}
+}
+
 // Step forwards connections until its context ends.
 func (p *Proxy) Step() grouper.Step {
 	return grouper.Step{Name: "proxy " + p.listen, Run: func(ctx context.Context) error {
@@ -115,19 +154,20 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.copy(target, caller, DropToTarget)
+		p.copy(ctx, target, caller, DropToTarget)
 	}()
-	p.copy(caller, target, DropFromTarget)
+	p.copy(ctx, caller, target, DropFromTarget)
 	<-done
 }
 
 // copy forwards one direction until it ends. Data that arrives in dropMode or DropBoth
 // is dropped, and so are all later data in this direction.
-func (p *Proxy) copy(to, from *net.TCPConn, dropMode Mode) {
+func (p *Proxy) copy(ctx context.Context, to, from *net.TCPConn, dropMode Mode) {
 	buf := make([]byte, maxChunk)
 	dropped := false
 	for {
 		n, err := from.Read(buf)
+		p.awaitRelease(ctx)
 		mode, delay := p.state()
 		dropped = dropped || (n > 0 && (mode == dropMode || mode == DropBoth))
 		if mode == Delay {
--- a/internal/soaker/proxier/proxier_test.go
+++ b/internal/soaker/proxier/proxier_test.go
@@ -120,6 +120,34 @@
 	}
 }
 
+// Guards against silences that lose bytes, or that end before the last of several that
+// overlap.
+func TestHold(t *testing.T) {
+	target, got := echo(t)
+	p := startProxy(t, target)
+	conn := dial(t, p)
+	p.Hold()
+	p.Hold()
+	p.Release()
+	later := dial(t, p)
+	for _, c := range []net.Conn{conn, later} {
+		if _, err := c.Write([]byte("word")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := got(); n > 0 {
+		t.Errorf("%d bytes arrived during a hold", n)
+	}
+	p.Release()
+	for _, c := range []net.Conn{conn, later} {
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		buf := make([]byte, 4)
+		if _, err := io.ReadFull(c, buf); err != nil || string(buf) != "word" {
+			t.Errorf("after the hold: got %q, %v, want %q", buf, err, "word")
+		}
+	}
+}
+
 func TestReset(t *testing.T) {
 	target, _ := echo(t)
 	p := startProxy(t, target)
--- a/internal/soaker/scheduler/kind_string.go
+++ b/internal/soaker/scheduler/kind_string.go
@@ -30,11 +30,13 @@
 	_ = x[Leave-19]
 	_ = x[StoreRestore-20]
 	_ = x[Limit-21]
+	_ = x[Silence-22]
+	_ = x[Change-23]
 }
 
-const _Kind_name = "killkill_allpausetermhupstore_delaystore_resetstore_deafstore_mutestore_silentstore_downstore_losestore_compactendpoint_delayendpoint_resetendpoint_deafendpoint_muteendpoint_silentrevokeleavestore_restorelimit"
+const _Kind_name = "killkill_allpausetermhupstore_delaystore_resetstore_deafstore_mutestore_silentstore_downstore_losestore_compactendpoint_delayendpoint_resetendpoint_deafendpoint_muteendpoint_silentrevokeleavestore_restorelimitsilencechange"
 
-var _Kind_index = [...]uint8{0, 4, 12, 17, 21, 24, 35, 46, 56, 66, 78, 88, 98, 111, 125, 139, 152, 165, 180, 186, 191, 204, 209}
+var _Kind_index = [...]uint8{0, 4, 12, 17, 21, 24, 35, 46, 56, 66, 78, 88, 98, 111, 125, 139, 152, 165, 180, 186, 191, 204, 209, 216, 222}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/soaker/scheduler/scheduler.go
+++ b/internal/soaker/scheduler/scheduler.go
@@ -39,11 +39,15 @@
 	Leave                        // leave
 	StoreRestore                 // store_restore
 	Limit                        // limit
+	Silence                      // silence
+	Change                       // change
 
 	// uniformKinds is how many kinds are drawn with equal probability: all but those
 	// from Leave on, which are drawn separately so that adding them changed no other
 	// fault of a seed.
 	uniformKinds = int(Revoke) + 1
+	// Kinds is the number of kinds.
+	Kinds = int(Change) + 1
 )
 
 // Fault is one fault. It is an immutable value.
@@ -53,15 +57,22 @@
 	// lasts. Faults that end processes last until the processes are started again.
 	At       time.Duration
 	Duration time.Duration
-	// Target is the number of the node or endpoint.
+	// Target is the number of the node or endpoint, of the first endpoint of a Silence,
+	// and a random number below Changes for a Change.
 	Target int
+	// Share is the share of the endpoints, from Target on, that a Silence affects.
+	Share float64
 	// Delay is the delay of each chunk.
 	Delay time.Duration
 }
 
 // String returns the fault as reports show it.
 func (f Fault) String() string {
-	return fmt.Sprintf("%s %d at %v for %v", f.Kind, f.Target, f.At, f.Duration)
+	text := fmt.Sprintf("%s %d at %v for %v", f.Kind, f.Target, f.At, f.Duration)
+	if f.Kind == Silence {
+		text += fmt.Sprintf(" of %.0f%% of the endpoints", 100*f.Share)
+	}
+	return text
 }
 
 // Config bounds the faults that are drawn.
@@ -105,6 +116,21 @@
 	// maxSeparateGap is the maximum time between two faults of a kind that is drawn
 	// separately and may overlap.
 	maxSeparateGap = 8 * time.Second
+	// Silences and changes come in series that begin up to maxSeriesGap apart. In each,
+	// up to maxSeriesSilences and maxSeriesChanges begin within seriesSpread, so that
+	// they overlap.
+	maxSeriesGap      = 5 * time.Second
+	maxSeriesSilences = 3
+	maxSeriesChanges  = 4
+	seriesSpread      = 2 * time.Second
+	// minSilence and maxSilence bound how long sound endpoints are silent, and minShare
+	// the share of them. Half of the silences affect all endpoints.
+	minSilence            = 800 * time.Millisecond
+	maxSilence            = 1400 * time.Millisecond
+	minShare              = 0.2
+	fullSilenceLikelihood = 0.5
+	// Changes is the number of changes to choose from.
+	Changes = 3
 )
 
 // Draw returns the faults of a run, ordered by their start.
@@ -145,6 +171,7 @@
 			faults = append(faults, drawSeparate(cfg, kind, uint64(n+2))...)
 		}
 	}
+	faults = append(faults, slices.DeleteFunc(drawSeries(cfg), func(f Fault) bool { return !cfg.draws(f.Kind) })...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
 }
@@ -174,6 +201,26 @@
 	return faults
 }
 
+// drawSeries draws the series of silences and changes of the configuration.
+func drawSeries(cfg Config) []Fault {
+	r := rand.New(rand.NewPCG(cfg.Seed, cfg.Seed+4))
+	var faults []Fault
+	for at := randomBelow(r, maxSeriesGap); at < cfg.Time; at += maxSilence + randomBelow(r, maxSeriesGap) {
+		for range 1 + r.IntN(maxSeriesSilences) {
+			f := Fault{Kind: Silence, At: at + randomBelow(r, seriesSpread), Duration: minSilence + randomBelow(r, maxSilence-minSilence)}
+			f.Target, f.Share = r.IntN(max(cfg.Endpoints, 1)), 1
+			if r.Float64() >= fullSilenceLikelihood {
+				f.Share = minShare + (1-minShare)*r.Float64()
+			}
+			faults = append(faults, f)
+		}
+		for range 1 + r.IntN(maxSeriesChanges) {
+			faults = append(faults, Fault{Kind: Change, At: at + randomBelow(r, seriesSpread), Duration: minDuration, Target: r.IntN(Changes)})
+		}
+	}
+	return slices.DeleteFunc(faults, func(f Fault) bool { return f.At+f.Duration > cfg.Time })
+}
+
 // randomBelow draws a duration below a limit.
 func randomBelow(r *rand.Rand, limit time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(limit)))
--- a/internal/soaker/scheduler/scheduler_test.go
+++ b/internal/soaker/scheduler/scheduler_test.go
@@ -23,9 +23,12 @@
 			if f.At < 0 || f.Duration <= 0 || f.At+f.Duration > cfg.Time {
 				t.Fatalf("%v is not within %v", f, cfg.Time)
 			}
-			if f.Target >= max(cfg.Nodes, cfg.Endpoints) {
+			if targets := max(cfg.Nodes, cfg.Endpoints); f.Target >= targets && (f.Kind != Change || f.Target >= Changes) {
 				t.Fatalf("%v has no target", f)
 			}
+			if f.Kind == Silence && (f.Duration < minSilence || f.Duration > maxSilence || f.Share < minShare || f.Share > 1) {
+				t.Fatalf("%v is not the silence of a sound endpoint", f)
+			}
 			if f.Kind == Revoke && f.At < revoked {
 				t.Fatalf("%v: a key is revoked that is already revoked", f)
 			}
@@ -43,7 +46,7 @@
 			drawn[f.Kind] = true
 		}
 	}
-	if got, want := len(drawn), int(Limit)+1; got != want {
+	if got, want := len(drawn), Kinds; got != want {
 		t.Errorf("kinds: got %d, want %d", got, want)
 	}
 }
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -278,7 +278,7 @@
 	var kinds []scheduler.Kind
 	for _, name := range names {
 		found := false
-		for k := scheduler.Kill; k <= scheduler.Leave; k++ {
+		for k := range scheduler.Kind(scheduler.Kinds) {
 			if k.String() == name {
 				kinds, found = append(kinds, k), true
 			}
--- a/internal/soaker/soaker_test.go
+++ b/internal/soaker/soaker_test.go
@@ -13,8 +13,8 @@
 )
 
 func TestKinds(t *testing.T) {
-	got, err := ParseKinds([]string{"kill", "store_deaf"})
-	if want := []scheduler.Kind{scheduler.Kill, scheduler.StoreDropTo}; err != nil || !slices.Equal(got, want) {
+	got, err := ParseKinds([]string{"kill", "store_deaf", "limit", "change"})
+	if want := []scheduler.Kind{scheduler.Kill, scheduler.StoreDropTo, scheduler.Limit, scheduler.Change}; err != nil || !slices.Equal(got, want) {
 		t.Errorf("got %v, %v, want %v", got, err, want)
 	}
 	if _, err := ParseKinds([]string{"flood"}); err == nil || !strings.Contains(err.Error(), "flood") {
