--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"banyanquay/internal/grouper"
@@ -23,6 +24,10 @@
 	streamTimeout = 15 * time.Second
 	// maxCallPause is the longest pause between two requests of a caller.
 	maxCallPause = 300 * time.Millisecond
+	// maxBodyBytes is the maximum size of a request's body. chunkedShare is the share of
+	// the bodies that are sent in chunks.
+	maxBodyBytes = 4 << 10
+	chunkedShare = 0.5
 	// revocableShare is the share of requests that use revocableKey.
 	revocableShare = 0.2
 	// idleTimeout is how long a caller keeps an idle connection: four fifths of the
@@ -43,6 +48,7 @@
 		if rand.Float64() < revocableShare {
 			c.Key = revocableKey
 		}
+		c.Body, c.Chunked = strings.Repeat("x", rand.IntN(maxBodyBytes)), rand.Float64() < chunkedShare
 		r.sendRequest(c, fmt.Sprintf("%s-c%d-%d", r.idPrefix, n, i), auditor.Kind(rand.IntN(int(auditor.NonIdempotent)+1)))
 		grouper.Sleep(ctx, rand.N(maxCallPause))
 	}
@@ -78,18 +84,18 @@
 		r.auditor.Record(result)
 		return
 	}
-	method, path := http.MethodGet, "/look/1"
+	method, path, body := http.MethodGet, "/look/1", ""
 	if kind == auditor.NonIdempotent {
-		method, path = http.MethodPost, "/book/1"
+		method, path, body = http.MethodPost, "/book/1", c.Body
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	result.Want = fmt.Sprintf("%s %s by org: ", method, path)
-	status, body, err := c.Call(ctx, method, path, id)
+	result.Want = fmt.Sprintf("%s %s by org: %s", method, path, body)
+	status, answer, err := c.Call(ctx, method, path, id)
 	if err != nil {
 		result.Err = err.Error()
 	} else {
-		result.Status, result.Body = status, body
+		result.Status, result.Body = status, answer
 	}
 	r.auditor.Record(result)
 }
