Judge requests of the soak that end without an answer

The auditor now judges each exchange, and thus each attempt of a stream: a node has read the whole request, and the connection ended without a complete answer, either after the request was passed on to an endpoint or more than 200 ms (loss-slack-ms) after its last byte. Excused are only those that overlap a period in which the node was killed, paused or stopped (from five sixths of the deadline of a planned stop on), or in which connections to an endpoint that had the request, or an engine of its path, were reset or lost bytes or the engine was restarted, and those that the caller gave up. Silences, changes, SIGHUP, revoked keys and the store's faults excuse nothing.

The violations are printed by their text, since one of an earlier request may be found later.

--- a/internal/soaker/auditor/auditor.go
+++ b/internal/soaker/auditor/auditor.go
@@ -72,7 +72,7 @@
 	// Runs returns when the plain service ran a request.
 	Runs func(id string) []time.Time
 	// MaxLeaveDelay is how long an endpoint may get requests after its announcement
-	// that it leaves was accepted, and Arrivals returns a request's arrivals at such
+	// that it leaves was accepted, and Arrivals returns a request's arrivals at
 	// endpoints.
 	MaxLeaveDelay time.Duration
 	Arrivals      func(id string) []imitator.Arrival
@@ -82,9 +82,11 @@
 type Auditor struct {
 	cfg Config
 
-	mu          sync.Mutex
-	requests    []Request
-	revocations []revocation
+	mu           sync.Mutex
+	requests     []Request
+	revocations  []revocation
+	exchanges    []Exchange
+	disturbances []*disturbance
 }
 
 // New returns an auditor without requests.
@@ -168,6 +170,11 @@
 	for _, r := range a.requests {
 		violations = append(violations, a.check(r)...)
 	}
+	for _, e := range a.exchanges {
+		if violation := a.checkEnd(e); violation != "" {
+			violations = append(violations, violation)
+		}
+	}
 	return violations
 }
 
@@ -210,7 +217,7 @@
 // MaxLeaveDelay after the endpoint's announcement that it leaves.
 func (a *Auditor) lateArrivals(r Request) []imitator.Arrival {
 	return slices.DeleteFunc(slices.Clone(a.cfg.Arrivals(r.ID)), func(arrival imitator.Arrival) bool {
-		return r.Sent.Sub(arrival.LeavingSince) <= a.cfg.MaxLeaveDelay
+		return arrival.LeavingSince.IsZero() || r.Sent.Sub(arrival.LeavingSince) <= a.cfg.MaxLeaveDelay
 	})
 }
 
--- /dev/null
+++ b/internal/soaker/auditor/exchange.go
@@ -0,0 +1,89 @@
+package auditor
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"banyanquay/platform/imitator"
+)
+
+// lossSlack is how long after its last byte a connection may end without an answer if
+// its request was passed on to no endpoint: the request and the close crossed.
+const lossSlack = 200 * time.Millisecond
+
+// Exchange is a request on one connection, and how it ended. It is an immutable value.
+type Exchange struct {
+	Kind Kind
+	imitator.Exchange
+}
+
+// disturbance is a period in which a node or an endpoint may end connections without an
+// answer.
+type disturbance struct {
+	address string
+	from    time.Time
+	// until is zero while it lasts.
+	until time.Time
+}
+
+// overlaps reports whether some of the time between from and until is in the period.
+func (d *disturbance) overlaps(from, until time.Time) bool {
+	return !d.from.After(until) && (d.until.IsZero() || !d.until.Before(from))
+}
+
+// Disturb records that the node or endpoint at an address is disturbed from now on, so
+// that it may end connections without an answer, until the function that it returns
+// is called.
+func (a *Auditor) Disturb(address string) (end func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := &disturbance{address: address, from: time.Now()}
+	a.disturbances = append(a.disturbances, d)
+	return func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		d.until = time.Now()
+	}
+}
+
+// RecordExchange adds an exchange that has ended.
+func (a *Auditor) RecordExchange(e Exchange) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.exchanges = append(a.exchanges, e)
+}
+
+// checkEnd returns the violation if a node ended the connection of a request that it
+// had read, without a complete answer and for no reason of its own or of the endpoints
+// that had the request. a.mu must be held.
+func (a *Auditor) checkEnd(e Exchange) string {
+	if e.Err == nil || e.Written.IsZero() || errors.Is(e.Err, context.DeadlineExceeded) || a.disturbed(e.Address, e.Written, e.Ended) {
+		return ""
+	}
+	// With a chunked body, a request can arrive before its last byte was written.
+	arrivals := slices.DeleteFunc(slices.Clone(a.cfg.Arrivals(e.ID)), func(arrival imitator.Arrival) bool { return arrival.At.After(e.Ended) })
+	if len(arrivals) == 0 && e.Ended.Sub(e.Written) <= lossSlack {
+		return ""
+	}
+	var endpoints []string
+	for _, arrival := range arrivals {
+		for _, address := range arrival.Addresses {
+			if a.disturbed(address, arrival.At, e.Ended) {
+				return ""
+			}
+		}
+		endpoints = append(endpoints, arrival.Endpoint)
+	}
+	return fmt.Sprintf("%s %s written %s: lost: %s closed the connection after %v (kept %v, chunked %v, passed on to %q): %v",
+		e.Kind, e.ID, e.Written.Format("15:04:05.000"), e.Address, e.Ended.Sub(e.Written).Round(time.Millisecond), e.Reused, e.Chunked, strings.Join(endpoints, " "), e.Err)
+}
+
+// disturbed reports whether a node or endpoint was disturbed at some time. a.mu must be
+// held.
+func (a *Auditor) disturbed(address string, from, until time.Time) bool {
+	return slices.ContainsFunc(a.disturbances, func(d *disturbance) bool { return d.address == address && d.overlaps(from, until) })
+}
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -68,6 +68,7 @@
 // sendRequest sends one request and records its outcome. Requests go on after the
 // callers have stopped, so that each has an outcome.
 func (r *run) sendRequest(c imitator.Caller, id string, kind auditor.Kind) {
+	c.OnEnd = func(e imitator.Exchange) { r.auditor.RecordExchange(auditor.Exchange{Kind: kind, Exchange: e}) }
 	result := auditor.Request{ID: id, Kind: kind, Key: c.Key, Sent: time.Now()}
 	if kind == auditor.Stream {
 		ctx, cancel := context.WithTimeout(context.Background(), streamTimeout)
--- a/internal/soaker/causer.go
+++ b/internal/soaker/causer.go
@@ -67,6 +67,9 @@
 		if f.Kind >= scheduler.EndpointDelay {
 			p = r.endpointProxies[f.Target]
 		}
+		if f.Kind != scheduler.StoreDelay && f.Kind != scheduler.EndpointDelay {
+			defer r.auditor.Disturb(p.Address())()
+		}
 		p.Set(proxyModes[f.Kind], f.Delay)
 		grouper.Sleep(ctx, f.Duration)
 		p.Set(proxier.Pass, 0)
@@ -85,6 +88,7 @@
 	case scheduler.Leave:
 		r.site.Leave(f.Target)
 		grouper.Sleep(ctx, f.Duration)
+		defer r.auditor.Disturb(r.endpointProxies[f.Target].Address())()
 		r.site.Restart(f.Target)
 	case scheduler.StoreRestore:
 		r.restoreStore(ctx, f.Duration)
@@ -136,15 +140,18 @@
 // injectSignal sends a fault's signal to one node's process, or to all, and restarts
 // those that end.
 func (r *run) injectSignal(ctx context.Context, f scheduler.Fault) {
-	n := r.nodes[f.Target%len(r.nodes)]
+	n, frontend := r.nodes[f.Target%len(r.nodes)], r.nodeAddress(f.Target%len(r.nodes), 1)
 	switch f.Kind {
 	case scheduler.Kill:
+		defer r.auditor.Disturb(frontend)()
 		n.Signal(syscall.SIGKILL)
 	case scheduler.KillAll:
-		for _, each := range r.nodes {
+		for i, each := range r.nodes {
+			defer r.auditor.Disturb(r.nodeAddress(i, 1))()
 			each.Signal(syscall.SIGKILL)
 		}
 	case scheduler.Pause:
+		defer r.auditor.Disturb(frontend)()
 		n.Signal(syscall.SIGSTOP)
 		grouper.Sleep(ctx, f.Duration)
 		n.Signal(syscall.SIGCONT)
@@ -154,7 +161,10 @@
 		return
 	case scheduler.Term:
 		n.Signal(syscall.SIGTERM)
-		if !n.Await(stopTimeout) {
+		if !n.Await(graceTime) {
+			defer r.auditor.Disturb(frontend)()
+		}
+		if !n.Await(stopTimeout - graceTime) {
 			n.Signal(syscall.SIGKILL)
 		}
 	}
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -52,8 +52,12 @@
 	// with a key, and its table of endpoints, which it reads with the rest, may be
 	// some seconds behind.
 	maxLeaveDelay = 8 * time.Second
-	// stopTimeout bounds a planned stop.
-	stopTimeout = 10 * time.Second
+	// stopDeadline is the nodes' deadline for a planned stop, after which they may end
+	// requests: a request that is still at work after graceTime, five sixths of it, isn't
+	// expected to be answered. stopTimeout bounds the stop.
+	stopDeadline = 8 * time.Second
+	graceTime    = stopDeadline * 5 / 6
+	stopTimeout  = 10 * time.Second
 	// auditInterval is the time between two checks during the run.
 	auditInterval = 500 * time.Millisecond
 	// idPrefixLength is the length of the part of a random UUID that distinguishes the
@@ -192,14 +196,14 @@
 
 [stop]
 address_ttl = "1s"
-deadline = "8s"
+deadline = %q
 
 [relay]
 enabled = true
 frontend = %q
 readiness = %q
 discovery = %q
-`, r.nodeAddress(n, 0), centres[n%len(centres)], r.storeProxies[n].Address(), r.nodeAddress(n, 1), r.nodeAddress(n, 2), r.nodeAddress(n, 3))
+`, r.nodeAddress(n, 0), centres[n%len(centres)], r.storeProxies[n].Address(), stopDeadline.String(), r.nodeAddress(n, 1), r.nodeAddress(n, 2), r.nodeAddress(n, 3))
 	return trace.ConvertSystemError(os.WriteFile(r.settingsPath(n), []byte(text), 0o600))
 }
 
@@ -251,10 +255,13 @@
 
 // printViolations prints violations as they are found.
 func (r *run) printViolations(ctx context.Context) {
-	for printed := 0; grouper.Sleep(ctx, auditInterval); {
-		violations := r.auditor.Violations()
-		for ; printed < len(violations); printed++ {
-			fmt.Println("  violation:", violations[printed])
+	printed := make(map[string]bool)
+	for grouper.Sleep(ctx, auditInterval) {
+		for _, violation := range r.auditor.Violations() {
+			if !printed[violation] {
+				fmt.Println("  violation:", violation)
+			}
+			printed[violation] = true
 		}
 	}
 }
