--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -82,6 +82,9 @@
 	Callers int
 	// Engines is the number of engines in each data centre.
 	Engines int
+	// RetrySlack is the slack of the nodes' retry budget. A smaller one gives each of a
+	// few nodes the part that it would have of many.
+	RetrySlack float64
 	// Port is the first of the consecutive ports that the run uses, which must be free
 	// on loopback; 0 means any.
 	Port int
@@ -203,7 +206,8 @@
 frontend = %q
 readiness = %q
 discovery = %q
-`, r.nodeAddress(n, 0), centres[n%len(centres)], r.storeProxies[n].Address(), stopDeadline.String(), r.nodeAddress(n, 1), r.nodeAddress(n, 2), r.nodeAddress(n, 3))
+retry_slack = %g
+`, r.nodeAddress(n, 0), centres[n%len(centres)], r.storeProxies[n].Address(), stopDeadline.String(), r.nodeAddress(n, 1), r.nodeAddress(n, 2), r.nodeAddress(n, 3), r.cfg.RetrySlack)
 	return trace.ConvertSystemError(os.WriteFile(r.settingsPath(n), []byte(text), 0o600))
 }
 
