Handle SIGHUP from the first moment of a node to its last

The reloader installed the handler, after the settings had been read and the parts before it were built, and removed it when the node began to stop, so that the signal's default action ended a node that was still answering its last requests, too (from the code; not seen).

main now installs it first thing and hands the signals to the reloader. A SIGHUP that comes before the reloader runs is kept until then.

--- a/cmd/banyanquayd/main.go
+++ b/cmd/banyanquayd/main.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"github.com/alexflint/go-arg"
@@ -32,13 +34,17 @@
 }
 
 func main() {
+	// SIGHUP ends a process that doesn't handle it, and may come while the node starts
+	// or stops.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
 	var a args
 	arg.MustParse(&a)
-	os.Exit(run(a))
+	os.Exit(run(a, hangups))
 }
 
 // run returns the exit code.
-func run(a args) int {
+func run(a args, hangups <-chan os.Signal) int {
 	settings, err := loader.Load(a.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -54,7 +60,7 @@
 		return 2
 	}
 	defer stop()
-	return serve(newApp(a.Settings, settings, logger))
+	return serve(newApp(a.Settings, settings, logger, hangups))
 }
 
 // newLogger returns a logger and a function that flushes it.
@@ -67,7 +73,7 @@
 }
 
 // newApp returns the node that the settings configure.
-func newApp(path string, settings loader.Settings, logger *zap.Logger) *fx.App {
+func newApp(path string, settings loader.Settings, logger *zap.Logger, hangups <-chan os.Signal) *fx.App {
 	counters := counter.New()
 	counters.Publish()
 	if !settings.Relay.Enabled {
@@ -76,7 +82,7 @@
 	latencies := counter.NewLatencies()
 	latencies.Publish()
 	return supervisor.NewRelay(supervisor.RelayConfig{
-		Settings: settings, Path: path, Logger: logger, Counters: counters, Latencies: latencies,
+		Settings: settings, Path: path, Hangups: hangups, Logger: logger, Counters: counters, Latencies: latencies,
 		Platform: newPlatform(settings, counters),
 	})
 }
--- a/cmd/banyanquayd/main_test.go
+++ b/cmd/banyanquayd/main_test.go
@@ -25,11 +25,11 @@
 		if err := os.WriteFile(path, []byte(tc.text), 0o600); err != nil {
 			t.Fatal(err)
 		}
-		if got := run(args{Settings: path, Check: true}); got != tc.want {
+		if got := run(args{Settings: path, Check: true}, nil); got != tc.want {
 			t.Errorf("%s: got exit code %d, want %d", name, got, tc.want)
 		}
 	}
-	if got := run(args{Settings: "missing.toml", Check: true}); got != 2 {
+	if got := run(args{Settings: "missing.toml", Check: true}, nil); got != 2 {
 		t.Errorf("missing file: got exit code %d, want 2", got)
 	}
 }
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"slices"
 	"time"
@@ -114,8 +115,9 @@
 // endpoints.
 type RelayConfig struct {
 	Settings loader.Settings
-	// Path is the settings file.
+	// Path is the settings file, which is read again at each value from Hangups.
 	Path      string
+	Hangups   <-chan os.Signal
 	Logger    *zap.Logger
 	Counters  *counter.Set
 	Latencies *counter.Latencies
@@ -172,7 +174,7 @@
 	}
 	r.started = r.clock.Now()
 	s, p := cfg.Settings, cfg.Platform
-	r.reloader = reloader.New(reloader.Config{Path: cfg.Path, Initial: s, Recorder: r.recorder})
+	r.reloader = reloader.New(reloader.Config{Path: cfg.Path, Hangups: cfg.Hangups, Initial: s, Recorder: r.recorder})
 	r.syncer = syncer.New(syncer.Config{
 		Topics: p.Topics, ConfigTopic: p.ConfigTopic, ConfigKey: p.ConfigKey, EndpointTopic: p.EndpointTopic,
 		QuarantineTopic:     p.QuarantineTopic,
--- a/internal/supervisor/reloader/reloader.go
+++ b/internal/supervisor/reloader/reloader.go
@@ -5,9 +5,7 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +22,9 @@
 type Config struct {
 	// Path is the settings file.
 	Path string
+	// Hangups delivers each SIGHUP. The program handles the signal from its first
+	// moment to its last, longer than a reloader runs.
+	Hangups <-chan os.Signal
 	// Initial holds the settings in force until the first reload.
 	Initial  loader.Settings
 	Recorder *recorder.Recorder
@@ -34,17 +35,15 @@
 type Reloader struct {
 	cfg     Config
 	current atomic.Pointer[loader.Settings]
-	sighups chan os.Signal
 	// lastState is the state of the file at the last read. Only the step's goroutine
 	// uses it.
 	lastState fileState
 }
 
-// New returns a reloader. From this call on, SIGHUP no longer terminates the process.
+// New returns a reloader.
 func New(cfg Config) *Reloader {
-	r := &Reloader{cfg: cfg, sighups: make(chan os.Signal, 1), lastState: readFileState(cfg.Path)}
+	r := &Reloader{cfg: cfg, lastState: readFileState(cfg.Path)}
 	r.current.Store(&cfg.Initial)
-	signal.Notify(r.sighups, syscall.SIGHUP)
 	return r
 }
 
@@ -57,7 +56,6 @@
 }
 
 func (r *Reloader) run(ctx context.Context) error {
-	defer signal.Stop(r.sighups)
 	poll := time.NewTicker(pollInterval)
 	defer poll.Stop()
 	for {
@@ -65,7 +63,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-r.sighups:
+		case <-r.cfg.Hangups:
 			reason = "hangup"
 		case <-poll.C:
 			if state := readFileState(r.cfg.Path); state == r.lastState {
--- a/internal/supervisor/reloader/reloader_test.go
+++ b/internal/supervisor/reloader/reloader_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -37,7 +38,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := New(Config{Path: path, Initial: first, Recorder: recorder.Nop()})
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	t.Cleanup(func() { signal.Stop(hangups) })
+	r := New(Config{Path: path, Hangups: hangups, Initial: first, Recorder: recorder.Nop()})
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
