Count the closed connections of a soak that are excused

A seed without violations says nothing if no connection was closed, or if all were excused. The line of each seed now has both counts: "closed and excused" and "closed and lost". The test of the excuses checks the counts, too.

--- a/internal/soaker/auditor/auditor.go
+++ b/internal/soaker/auditor/auditor.go
@@ -147,7 +147,8 @@
 	return served, len(a.requests)
 }
 
-// Outcomes counts the requests by kind and outcome.
+// Outcomes counts the requests by kind and outcome, and the exchanges that ended without
+// an answer by whether that is a violation.
 func (a *Auditor) Outcomes() map[string]int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -159,6 +160,13 @@
 		}
 		outcomes[r.Kind.String()+" "+outcome]++
 	}
+	for _, e := range a.exchanges {
+		if e.closed() && a.checkEnd(e) == "" {
+			outcomes["closed and excused"]++
+		} else if e.closed() {
+			outcomes["closed and lost"]++
+		}
+	}
 	return outcomes
 }
 
--- a/internal/soaker/auditor/exchange.go
+++ b/internal/soaker/auditor/exchange.go
@@ -21,6 +21,12 @@
 	imitator.Exchange
 }
 
+// closed reports whether the caller wrote the whole request, waited for the answer, and got
+// none.
+func (e Exchange) closed() bool {
+	return e.Err != nil && !e.Written.IsZero() && !errors.Is(e.Err, context.DeadlineExceeded)
+}
+
 // disturbance is a period in which a node or an endpoint may end connections without an
 // answer.
 type disturbance struct {
@@ -61,7 +67,7 @@
 // had read, without a complete answer and for no reason of its own or of the endpoints
 // that had the request. a.mu must be held.
 func (a *Auditor) checkEnd(e Exchange) string {
-	if e.Err == nil || e.Written.IsZero() || errors.Is(e.Err, context.DeadlineExceeded) || a.disturbed(e.Address, e.Written, e.Ended) {
+	if !e.closed() || a.disturbed(e.Address, e.Written, e.Ended) {
 		return ""
 	}
 	// With a chunked body, a request can arrive before its last byte was written.
--- a/internal/soaker/auditor/exchange_test.go
+++ b/internal/soaker/auditor/exchange_test.go
@@ -64,6 +64,9 @@
 			if (got != "") != c.lost || c.lost && !strings.Contains(got, "lost: node closed the connection") {
 				t.Errorf("got %q, want a violation: %v", got, c.lost)
 			}
+			if got := a.Outcomes()["closed and lost"]; (got > 0) != c.lost {
+				t.Errorf("outcomes: got %d lost, want a violation: %v", got, c.lost)
+			}
 		})
 	}
 }
