Show lookups that fail because their endpoints are silent for a second

The node's log of such a request: sends 1, took 401 ms, "context deadline exceeded".

It is the streams' cause in servePlain: attemptTimeout ends the attempt for another one before the budget's retry is certain. If there is none, the caller is refused, though it waits on and the endpoint would answer.

--- a/internal/supervisor/forwarder/plain_test.go
+++ b/internal/supervisor/forwarder/plain_test.go
@@ -184,6 +184,27 @@
 	})
 }
 
+// Guards against lookups that fail because their attempt is ended for another one that the
+// budget doesn't allow: both endpoints are silent for a second, and their callers wait for two.
+func TestLookupsOutlastSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		end := time.Now().Add(time.Second)
+		w := newHarness(t, driver.Relay{Send: func(ctx context.Context, _ string, f driver.Forward) (driver.Reply, error) {
+			select {
+			case <-time.After(time.Until(end)):
+				return signedReply(200, "ok")(f)
+			case <-ctx.Done():
+				return driver.Reply{}, ctx.Err()
+			}
+		}}, plainEntries()...)
+		w.retrySlack = 0
+		a := w.send(t.Context(), "GET", pathGet+"1", "r1", "")
+		if got, want := a.Code, 200; got != want {
+			t.Errorf("status after %v: got %d, want %d, %s", time.Since(end.Add(-time.Second)), got, want, a.Body)
+		}
+	})
+}
+
 func TestTimeoutAnswersInTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newHarness(t, driver.Relay{Send: func(ctx context.Context, _ string, _ driver.Forward) (driver.Reply, error) {
