End no lookup's attempt without a retry for the next one

Cause: as for streams, the attempt was ended to make room for another one, and the budget was asked afterwards. Without a retry the caller was refused, though it waits on and the endpoint would answer. Change: at the time at which the attempt would end, the retry is taken first; if there is none, or no other endpoint, the attempt goes on for the time that the caller has. Evidence: TestLookupsOutlastSilence got 502, want 200, without the change.

--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -208,6 +208,9 @@
 	numbering numbering
 	// tried holds the IDs of the endpoints that are not tried again.
 	tried map[string]bool
+	// paid is set while a retry has been taken from the budget for the next attempt at a plain
+	// service.
+	paid atomic.Bool
 	// refusedBy holds those of them that refused the request and may have room later.
 	refusedBy []string
 	// limited holds the IDs of the endpoints that took no more requests when an endpoint
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -91,8 +91,7 @@
 		if !ok {
 			break
 		}
-		if c.arrived && !f.cfg.Budget.TakeRetry(c.service, false) {
-			f.cfg.Counters.Retries.Add("budget_spent", 1)
+		if c.arrived && !f.takePlainRetry(c) {
 			break
 		}
 		lastEndpoint = e
@@ -110,6 +109,15 @@
 	f.finish(c, last, lastEndpoint)
 }
 
+// takePlainRetry takes a retry from the budget for a plain service, unless it is taken already.
+func (f *Forwarder) takePlainRetry(c *call) bool {
+	if c.paid.Swap(false) || f.cfg.Budget.TakeRetry(c.service, false) {
+		return true
+	}
+	f.cfg.Counters.Retries.Add("budget_spent", 1)
+	return false
+}
+
 // mayResend reports whether the request may be sent to another endpoint after an
 // unsuccessful outcome.
 func (f *Forwarder) mayResend(c *call, o outcome) bool {
@@ -186,6 +194,16 @@
 	defer stop()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	if limit, ok := f.retryTimeout(c); ok {
+		// The attempt goes on unless the budget has a retry for its successor.
+		retry := time.AfterFunc(limit, func() {
+			if f.cfg.Budget.TakeRetry(c.service, false) {
+				c.paid.Store(true)
+				cancel(errStalled)
+			}
+		})
+		defer retry.Stop()
+	}
 	defer f.plain.begin(c, cancel)()
 	o := f.exchange(ctx, c, e)
 	took := f.cfg.Now().Sub(began)
@@ -234,13 +252,21 @@
 	if !limited {
 		left = time.Hour
 	}
-	if c.route.Repeatable() && c.runs+1 < c.route.Attempts && c.route.Target > 0 {
-		limit := max(time.Duration(attemptTargetShare*float64(c.route.Target)), minAttemptTimeout)
-		left = min(left, limit)
-	}
 	return max(left, time.Millisecond)
 }
 
+// retryTimeout is how long an attempt at a plain service may take while another endpoint may be
+// tried, and whether one may.
+func (f *Forwarder) retryTimeout(c *call) (time.Duration, bool) {
+	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts || c.route.Target <= 0 {
+		return 0, false
+	}
+	if _, ok := f.chooseEndpoint(c); !ok {
+		return 0, false
+	}
+	return max(time.Duration(attemptTargetShare*float64(c.route.Target)), minAttemptTimeout), true
+}
+
 // exchange sends the request and reads the complete answer.
 func (f *Forwarder) exchange(ctx context.Context, c *call, e registrar.Entry) outcome {
 	began := f.cfg.Now()
