Send a non-idempotent call on a connection that carried no probe

A node of the product's own mode probes a service with a status request and sent the call over the same connection. Services' answers don't name their request, so that a second copy of the probe's answer, written after the connection was checked and before the call's answer, was taken for the call's and recorded under its key: the caller got the status, or a failure that wasn't its own.

The probe now has a connection of its own, which must bring nothing more than its answer, and the call another one, which is checked for unsolicited bytes as before. This costs one connection more for each non-idempotent call.

TestLateCopyOfTheProbesAnswer failed before: "got 200, "{}", want the call's answer "done"". TestOnceIsNeverReplayed wants exactly two connections in place of one, the probe's and the call's, and exactly one arrival as before.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -204,8 +204,8 @@
 type Service struct {
 	// Do sends an idempotent call over a connection of its own.
 	Do func(ctx context.Context, address string, call Call) (Answer, error)
-	// Once sends a non-idempotent call at most once, over a new connection that has
-	// been probed. An *Unsent error means that nothing was written; after any other
+	// Once probes the service and sends a non-idempotent call at most once, over a
+	// connection of its own. An *Unsent error means that nothing was written; after any other
 	// error the service may have run the call.
 	Once func(ctx context.Context, address string, call Call) (Answer, error)
 }
--- a/internal/driver/once.go
+++ b/internal/driver/once.go
@@ -18,7 +18,7 @@
 
 // once sends a non-idempotent call at most once. It doesn't use http.Transport,
 // which may replay requests on its own: the call is written once, to a connection
-// that was dialled for it.
+// that was dialled for it alone.
 func (s *service) once(ctx context.Context, address string, call Call) (Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.timeout(call))
 	defer cancel()
@@ -43,33 +43,52 @@
 	return newAnswer(resp, address)
 }
 
-// dialProbed opens a connection and probes it with a status request.
-func (s *service) dialProbed(ctx context.Context, address string) (*probedConn, error) {
+// dialProbed probes the service with a status request and then opens a connection for one
+// call. The call has a connection of its own: a late copy of the status response would be
+// taken for its answer.
+func (s *service) dialProbed(ctx context.Context, address string) (*callConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.ProbeTimeout)
 	defer cancel()
-	var dialer net.Dialer
-	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err := probeService(ctx, address); err != nil {
+		return nil, trace.Wrap(err, "probing %s", address)
+	}
+	return dialCall(ctx, address)
+}
+
+// probeService sends a status request over a connection of its own.
+func probeService(ctx context.Context, address string) error {
+	conn, err := dialCall(ctx, address)
 	if err != nil {
-		return nil, trace.ConnectionProblem(err, "dialling %s", address)
+		return err
 	}
-	conn := &probedConn{Conn: raw}
-	conn.r = bufio.NewReader(conn)
+	defer conn.Close()
 	stop := conn.abortOnDone(ctx)
 	err = conn.probe(ctx, address)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
+	if err == nil {
+		err = conn.checkOpen()
+	}
+	return err
+}
+
+// dialCall opens a connection.
+func dialCall(ctx context.Context, address string) (*callConn, error) {
+	var dialer net.Dialer
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		conn.Close()
-		return nil, trace.Wrap(err, "probing the connection to %s", address)
+		return nil, trace.ConnectionProblem(err, "dialling %s", address)
 	}
+	conn := &callConn{Conn: raw}
+	conn.r = bufio.NewReader(conn)
 	return conn, nil
 }
 
-// probedConn is a connection for one status request and one call.
-type probedConn struct {
+// callConn is a connection for one status request or one call.
+type callConn struct {
 	net.Conn
-	// r reads all responses; it must be empty before the call is written.
+	// r reads the response; it must be empty before the call is written.
 	r *bufio.Reader
 	// written is the number of bytes accepted by the kernel since the last reset.
 	written int
@@ -81,7 +100,7 @@
 
 // Read reads from the connection, and fails once the head of a response is longer
 // than maxHeaderBytes.
-func (c *probedConn) Read(data []byte) (int, error) {
+func (c *callConn) Read(data []byte) (int, error) {
 	if !c.headLimited {
 		return c.Conn.Read(data)
 	}
@@ -94,7 +113,7 @@
 }
 
 // Write counts the bytes that may have been sent.
-func (c *probedConn) Write(data []byte) (int, error) {
+func (c *callConn) Write(data []byte) (int, error) {
 	n, err := c.Conn.Write(data)
 	c.written += n
 	return n, err
@@ -102,7 +121,7 @@
 
 // abortOnDone makes reads and writes of the connection fail once the context is done.
 // The returned function undoes that; it returns false if the context was done first.
-func (c *probedConn) abortOnDone(ctx context.Context) func() bool {
+func (c *callConn) abortOnDone(ctx context.Context) func() bool {
 	return context.AfterFunc(ctx, func() {
 		_ = c.SetDeadline(time.Unix(1, 0))
 	})
@@ -110,7 +129,7 @@
 
 // probe sends a status request and reads the whole response. It fails if the peer is
 // about to close the connection or the endpoint is leaving.
-func (c *probedConn) probe(ctx context.Context, address string) error {
+func (c *callConn) probe(ctx context.Context, address string) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", http.NoBody)
 	if err != nil {
 		return trace.Wrap(err)
@@ -143,7 +162,7 @@
 }
 
 // send writes the call. Its error is *Unsent if the kernel accepted no byte of it.
-func (c *probedConn) send(req *http.Request) error {
+func (c *callConn) send(req *http.Request) error {
 	if err := c.checkOpen(); err != nil {
 		return &Unsent{Err: err}
 	}
@@ -159,7 +178,7 @@
 }
 
 // receive reads the header of the final response and skips interim (1xx) responses.
-func (c *probedConn) receive(req *http.Request) (*http.Response, error) {
+func (c *callConn) receive(req *http.Request) (*http.Response, error) {
 	c.headLimited, c.headLeft = true, maxHeaderBytes
 	defer func() { c.headLimited = false }()
 	for {
--- a/internal/driver/once_test.go
+++ b/internal/driver/once_test.go
@@ -43,13 +43,35 @@
 			if got, want := p.arrivals(), 1; got != want {
 				t.Errorf("got %d arrivals, want %d", got, want)
 			}
-			if got, want := p.connections(), 1; got != want {
+			// One for the probe and one for the call.
+			if got, want := p.connections(), 2; got != want {
 				t.Errorf("got %d connections, want %d", got, want)
 			}
 		})
 	}
 }
 
+// Guards against a copy of the probe's answer, written late, that is taken for the answer of
+// the call and recorded as such.
+func TestLateCopyOfTheProbesAnswer(t *testing.T) {
+	for name, status := range map[string]string{
+		"status":  answerOK,
+		"refusal": "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 2\r\n\r\n{}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPeer(t, &peer{status: status, repeats: true, answer: always("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")})
+			s := NewService(longProbeTimeout)
+			got, err := s.Once(t.Context(), p.address, Call{Method: http.MethodPost, Path: "/a"})
+			if want := "done"; err != nil || got.Status != http.StatusOK || string(got.Body) != want {
+				t.Errorf("got %d, %q, %v, want the call's answer %q", got.Status, got.Body, err, want)
+			}
+			if got, want := p.arrivals(), 1; got != want {
+				t.Errorf("got %d arrivals, want %d", got, want)
+			}
+		})
+	}
+}
+
 func TestOnceUnsent(t *testing.T) {
 	closed, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -144,7 +166,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			conn := &probedConn{Conn: shortConn{accepts: test.accepts}, r: bufio.NewReader(shortConn{})}
+			conn := &callConn{Conn: shortConn{accepts: test.accepts}, r: bufio.NewReader(shortConn{})}
 			req, err := newCallRequest(t.Context(), "a:1", Call{Method: http.MethodPost, Path: "/a"})
 			if err != nil {
 				t.Fatalf("building: %v", err)
--- a/internal/driver/open.go
+++ b/internal/driver/open.go
@@ -9,7 +9,7 @@
 
 // checkOpen returns an error if the peer has closed the connection or has sent
 // unsolicited data. It does not block.
-func (c *probedConn) checkOpen() error {
+func (c *callConn) checkOpen() error {
 	if c.r.Buffered() > 0 {
 		return trace.ConnectionProblem(nil, "the peer sent unsolicited data")
 	}
--- a/internal/driver/peer_test.go
+++ b/internal/driver/peer_test.go
@@ -33,6 +33,9 @@
 	answer func(n int) string
 	// before is called before the n-th call is answered, unless it is nil.
 	before func(n int)
+	// repeats is set if the response before on the same connection is sent once more,
+	// ahead of the next one.
+	repeats bool
 
 	mu       sync.Mutex
 	conns    int
@@ -68,6 +71,7 @@
 func (p *peer) serve(conn net.Conn) {
 	defer conn.Close()
 	r := bufio.NewReader(conn)
+	previous := ""
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -83,9 +87,12 @@
 			return
 		}
 		answer, last := strings.CutSuffix(answer, hangUp)
-		if _, err := io.WriteString(conn, answer); err != nil || last {
+		if _, err := io.WriteString(conn, previous+answer); err != nil || last {
 			return
 		}
+		if p.repeats {
+			previous = answer
+		}
 	}
 }
 
