Test engines that write an earlier answer once more

Other operators report refusals that are written once more on kept connections. Connections to engines of the product's own mode are kept, and an engine's refusal doesn't name its step. No promise rests on it: a refusal after a sent step is never "never", results are matched by request, attempt and position, and a step that ran and counts as refused runs again under a new attempt.

TestRepeatedAnswersOfAnEngine fails without the mark that a step was sent: "endpoint_failed (ran: never) ... want a refusal that says maybe". What such a refusal says of the engine itself holds until the next poll (GUARANTEES).

--- a/internal/supervisor/dispatcher/runner/runner_test.go
+++ b/internal/supervisor/dispatcher/runner/runner_test.go
@@ -45,6 +45,12 @@
 	answersOther
 	// overloads refuses this step for overload.
 	overloads
+	// runsThenLeaves and runsThenOverloads run the step and refuse it, as an earlier refusal
+	// that is written once more on a kept connection does.
+	runsThenLeaves
+	runsThenOverloads
+	// answersEarlier runs the step and answers with the endpoint's earlier result.
+	answersEarlier
 	faultCount
 )
 
@@ -60,6 +66,8 @@
 	steps     int
 	permanent map[string]fault
 	sent      []driver.Step
+	// earlier holds the last result of each endpoint.
+	earlier map[string]driver.StepResult
 	// credited lists the endpoints that a job's success was credited to.
 	credited []string
 	transfers
@@ -69,7 +77,7 @@
 var ranges = [][2]int{{0, 4}, {4, 8}, {8, 12}, {0, 6}, {6, 12}, {0, 4}, {4, 8}, {8, 12}}
 
 func newFleet(script []fault) *fleet {
-	f := &fleet{engines: make(map[string]*generator.Generator), script: script, permanent: make(map[string]fault)}
+	f := &fleet{engines: make(map[string]*generator.Generator), script: script, permanent: make(map[string]fault), earlier: make(map[string]driver.StepResult)}
 	for i, r := range ranges {
 		address := fmt.Sprintf("10.0.0.%d:1", i)
 		holding := driver.Holding{Model: testModel, Version: testVersion, First: r[0], Last: r[1], Layers: testLayers}
@@ -116,7 +124,19 @@
 	}
 	f.saveCache(address)
 	result, err := f.engines[address].Step(ctx, step)
+	earlier := f.earlier[address]
+	if err == nil {
+		f.earlier[address] = driver.StepResult{
+			Request: result.Request, Attempt: result.Attempt, Position: result.Position, Outputs: slices.Clone(result.Outputs),
+		}
+	}
 	switch kind {
+	case runsThenLeaves:
+		return driver.StepResult{}, &driver.Refused{Reason: driver.ReasonLeaving}
+	case runsThenOverloads:
+		return driver.StepResult{}, &driver.Refused{Reason: driver.ReasonOverload}
+	case answersEarlier:
+		return earlier, nil
 	case replyLost:
 		return driver.StepResult{}, errReset
 	case runsThenHangs:
@@ -223,6 +243,26 @@
 	})
 }
 
+// Guards against a step that ran, whose answer is an earlier refusal or result written once
+// more on a kept connection: no token may be lost, doubled or another one, and no caller told
+// that the request never ran.
+func TestRepeatedAnswersOfAnEngine(t *testing.T) {
+	for _, what := range []fault{runsThenLeaves, runsThenOverloads, answersEarlier} {
+		want := generator.Expect(testModel, testVersion, testLayers, testPrompt, 4)
+		for n := range 8 {
+			script := append(make([]fault, n), what)
+			if got, err := runJob(t, newFleet(script), 4, job(4, nil)); err != nil || !slices.Equal(got, want) {
+				t.Errorf("fault %d at step %d: got %q, %v, want %q", what, n, got, err, want)
+			}
+		}
+		_, err := runJob(t, newFleet(slices.Repeat([]fault{what}, 50)), 3, job(4, nil))
+		var refusal refuser.Refusal
+		if !errors.As(err, &refusal) || refusal.Ran != refuser.Maybe {
+			t.Errorf("fault %d at each step: got %v, ran %v, want a refusal that says maybe", what, err, refusal.Ran)
+		}
+	}
+}
+
 func TestOnlyTheLostStageIsReplaced(t *testing.T) {
 	// Without the ranges of six layers every pipeline has three stages, so the
 	// fifth step is the second token's at the second stage.
