Test that streams between nodes get their own messages only

TestStreamsGetTheirOwnMessages has a node that goes on sending after its peer has closed the stream and opened the next. TestUnhandled checks the only answer by which a node says that it did nothing for a query.

--- a/internal/supervisor/linker/linker_test.go
+++ b/internal/supervisor/linker/linker_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"banyanquay/internal/counter"
+	"banyanquay/internal/encoder"
 )
 
 // node is a linker behind an HTTP server on loopback.
@@ -99,6 +100,52 @@
 	}
 }
 
+// Guards against a message of an earlier stream that is taken for one of a later stream to the
+// same node, such as a refusal of an earlier request.
+func TestStreamsGetTheirOwnMessages(t *testing.T) {
+	a, b := startNode(t, "a1", "secret"), startNode(t, "b1", "secret")
+	b.HandleStream(Detours, func(ctx context.Context, query []byte, send func([]byte) error) {
+		for send(query) == nil && ctx.Err() == nil {
+			time.Sleep(time.Millisecond) // goes on after the peer has closed the stream
+		}
+	})
+	for _, query := range []string{"one", "two", "three", "four"} {
+		conn, sent, err := a.OpenStream(t.Context(), b.address, Detours, []byte(query))
+		if err != nil || !sent {
+			t.Fatalf("got sent %v, error %v, want a stream", sent, err)
+		}
+		for range 3 {
+			if got, err := conn.Receive(); err != nil || string(got) != query {
+				t.Errorf("got %q, %v, want %q", got, err, query)
+			}
+		}
+		conn.Close()
+	}
+}
+
+// Guards against a call that a node has made and that counts as not made: only a node without a
+// handler for the subject says that it did nothing.
+func TestUnhandled(t *testing.T) {
+	a, b := startNode(t, "a1", "secret"), startNode(t, "b1", "secret")
+	conn, _, err := a.OpenStream(t.Context(), b.address, Detours, []byte("query"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if got, err := conn.Receive(); err != nil || !Unhandled(got) {
+		t.Errorf("a subject without a handler: got %q, %v, want a message that says so", got, err)
+	}
+	for _, other := range []answer{{}, {Body: []byte("answer")}, {Error: "unexpected error"}} {
+		data, err := encoder.CBOR(other)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if Unhandled(data) {
+			t.Errorf("%+v: counts as not handled", other)
+		}
+	}
+}
+
 func TestWrongSecretIsForbidden(t *testing.T) {
 	a, b := startNode(t, "a1", "secret"), startNode(t, "b1", "other")
 	if got, err := a.Query(t.Context(), b.address, Drains, []byte("q")); err == nil {
