Keep no removed endpoint when a reader returns from a partition

Cause: entries that vanish within 2.3 s after calls to the store have failed are kept, since live endpoints lapse in an outage of the store. A reader that was cut off alone did the same. It read on from its old offset: the earlier records of a server listed it again, though the reader had learnt of its removal from other nodes, and its removal was then put off. The nodes of its zone took the entry over with the reader's table. Removals after the return were put off as well.

Now a removal is put off only - for an entry that was there before the records that were read at once; and - if no other node read the endpoints during the failures. A table of another node that is newer than the first failure shows that one did; it counts if it is older than 1.6 s, by which all readers notice the end of an outage of the store. A node that missed more than a page of records reads the newest of each key instead, so that a page without a server's removal doesn't list it.

Not covered: a reader that is cut off for less than about 3 s, in which the others' tables don't show that the store was there, puts off a removal as before; and one that reaches no other node.

The reading of pages has no test.

--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -63,6 +63,12 @@
 	return e, ok
 }
 
+// has reports whether an endpoint is in the table.
+func (t Table) has(id string) bool {
+	_, ok := t.entries[id]
+	return ok
+}
+
 // All returns the entries, sorted by ID.
 func (t Table) All() []Entry {
 	all := make([]Entry, 0, len(t.entries))
@@ -84,7 +90,8 @@
 
 // With returns the table after the changes. Entries that the store removes before
 // keepUntil are kept until then, since they may have expired during an outage of the
-// store.
+// store. One that isn't in this table, but only in earlier records among the changes, is
+// not: it was gone already.
 func (t Table) With(now, keepUntil time.Time, changes []Change) Table {
 	next := Table{entries: maps.Clone(t.entries), retained: maps.Clone(t.retained)}
 	if next.entries == nil {
@@ -98,7 +105,7 @@
 		switch {
 		case c.Entry != nil:
 			next.merge(*c.Entry)
-		case c.Unreadable || !now.Before(keepUntil):
+		case c.Unreadable || !now.Before(keepUntil) || !t.has(c.ID):
 			delete(next.entries, c.ID)
 		default:
 			next.retained[c.ID] = keepUntil
--- a/internal/supervisor/syncer/feed.go
+++ b/internal/supervisor/syncer/feed.go
@@ -21,9 +21,12 @@
 	now      func() time.Time
 	failures int
 	// since is when the first of the current run of failures occurred, and returned
-	// when the last run ended.
+	// when the last run ended in which the store may have been out.
 	since    time.Time
 	returned time.Time
+	// lost and othersRead are those of the feed.
+	lost       func()
+	othersRead func() bool
 }
 
 // failed records a failed call and returns the delay before the next one. reader
@@ -31,6 +34,9 @@
 func (o *outage) failed(err error, reader bool) time.Duration {
 	if o.failures == 0 {
 		o.since = o.now()
+		if o.lost != nil {
+			o.lost()
+		}
 		o.recorder.Warn(recorder.StoreUnreachable, zap.String("what", o.name), zap.Error(err))
 	}
 	o.failures++
@@ -42,15 +48,20 @@
 	return delay/2 + rand.N(delay/2+1)
 }
 
-// succeeded records a successful call.
-func (o *outage) succeeded() {
+// succeeded records a successful call and reports whether it ends a run of failures.
+func (o *outage) succeeded() bool {
 	if o.failures == 0 {
-		return
+		return false
+	}
+	now := o.now()
+	alone := o.othersRead != nil && o.othersRead()
+	if !alone {
+		o.returned = now
 	}
-	o.returned = o.now()
 	o.recorder.Info(recorder.StoreReachable, zap.String("what", o.name),
-		zap.Int("failures", o.failures), zap.Duration("away", o.returned.Sub(o.since)))
+		zap.Int("failures", o.failures), zap.Duration("away", now.Sub(o.since)), zap.Bool("alone", alone))
 	o.failures = 0
+	return true
 }
 
 // feed is a topic that this node follows.
@@ -65,6 +76,11 @@
 	due func() bool
 	// apply merges the records of a read.
 	apply func(r reading)
+	// lost, if set, is called when calls begin to fail, and othersRead, if set, when they
+	// succeed again: it reports whether other nodes read the topic meanwhile, so that only
+	// this node was cut off.
+	lost       func()
+	othersRead func() bool
 }
 
 // reading is the result of a read of a topic.
@@ -82,7 +98,7 @@
 // follow reads a topic until ctx ends: first the newest record of each key, then the
 // records that come after them.
 func (s *Syncer) follow(ctx context.Context, f feed) error {
-	o := outage{recorder: s.cfg.Recorder, name: f.name, now: s.cfg.Now}
+	o := outage{recorder: s.cfg.Recorder, name: f.name, now: s.cfg.Now, lost: f.lost, othersRead: f.othersRead}
 	initialised, restored := false, false
 	var from provider.Offset
 	for ctx.Err() == nil {
@@ -109,7 +125,12 @@
 		case err != nil:
 			return nil
 		}
-		o.succeeded()
+		if returned := o.succeeded(); returned && items.More {
+			// Endpoints that were removed meanwhile would be listed again until the page with
+			// their removal is read.
+			initialised = false
+			continue
+		}
 		r := reading{items: items, full: !initialised, restored: restored, sentAt: sentAt, keepUntil: o.returned.Add(lapseGracePeriod)}
 		if !s.cfg.Recorder.Guard(f.name, func() { f.apply(r) }) {
 			initialised = false
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -322,6 +322,9 @@
 	}
 	s.replace(&next)
 	s.tableTimestamp.Store(&asOf)
+	if s.othersReadAt.IsZero() && asOf.After(s.lostAt) {
+		s.othersReadAt = asOf
+	}
 	if _, known := s.positions[address]; !known && len(s.positions) >= maxPositions {
 		clear(s.positions)
 	}
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -38,6 +38,9 @@
 	// its own outage: live endpoints are registered again within two seconds of its
 	// return.
 	lapseGracePeriod = 2300 * time.Millisecond
+	// returnSpread is how much later than another one a reader may notice that the store
+	// answers again: a backoff and a call without an answer.
+	returnSpread = maxBackoff + 900*time.Millisecond
 	// minBackoff and maxBackoff bound the delays between failed calls of a node that
 	// reads the store for others, nonReaderMinBackoff and nonReaderMaxBackoff those
 	// of the other nodes, which learn from a reader, or from any node, that the
@@ -125,6 +128,10 @@
 	reader    string
 	// lastAnswered is when another node last answered a query; zero if none has.
 	lastAnswered time.Time
+	// lostAt is when this node's reads of the endpoints last began to fail, and othersReadAt the
+	// earliest later time as of which it got the table of another node; zero if it got none.
+	lostAt       time.Time
+	othersReadAt time.Time
 }
 
 // New returns a Syncer without any data.
@@ -176,6 +183,7 @@
 	return s.follow(ctx, feed{
 		name: "endpoints", topic: s.cfg.EndpointTopic, interval: pollInterval,
 		due: func() bool { return s.shouldRead(s.tableTime(), tableAgeThreshold) }, apply: s.applyEndpoints,
+		lost: s.noteLost, othersRead: s.othersRead,
 	})
 }
 
@@ -215,6 +223,21 @@
 	return s.cfg.IsStandby() || !s.recentlyAnswered()
 }
 
+// noteLost records that this node's reads of the endpoints begin to fail.
+func (s *Syncer) noteLost() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lostAt, s.othersReadAt = s.cfg.Now(), time.Time{}
+}
+
+// othersRead reports whether another node read the endpoints while this one couldn't, before
+// all nodes noticed that an outage of the store was over.
+func (s *Syncer) othersRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.othersReadAt.IsZero() && s.cfg.Now().Sub(s.othersReadAt) > returnSpread
+}
+
 // recentlyAnswered reports whether another node has answered this one recently.
 func (s *Syncer) recentlyAnswered() bool {
 	s.mu.Lock()
