--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -129,16 +129,23 @@
 	s.runs++
 }
 
-// payRetry takes a retry from the budget for the attempt that follows that of state, unless it is
-// taken already. It reports whether it is, and the attempt still the current one.
+// payRetry takes a retry from the budget for the attempt that follows that of state, unless one is
+// taken already. It reports whether there is one, and the attempt still the current one.
 func (s *session) payRetry(state snapshot) bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cancel == nil || s.attempt != state.attempt {
+	current, paid := s.cancel != nil && s.attempt == state.attempt, s.paid
+	s.mu.Unlock()
+	if !current || paid {
+		return current
+	}
+	// The budget asks other parts of the node, so that the session isn't locked meanwhile.
+	if !s.f.cfg.Budget.TakeRetry(s.c.service, state.events > 0) {
 		return false
 	}
-	s.paid = s.paid || s.f.cfg.Budget.TakeRetry(s.c.service, state.events > 0)
-	return s.paid
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.paid = true
+	return s.cancel != nil && s.attempt == state.attempt
 }
 
 // usePaidRetry uses the retry that payRetry has taken, and reports whether there was one.
