Call nothing with the broadcaster's lock held

Cause: a deadlock of two locks. A message to a peer was made with the broadcaster's lock held and asked the budget what this node had spent. A stream's recovery took a retry with the budget's lock held, which each 0.5 s asks the broadcaster what the others have spent. Requests, links, queries and the monitor then queue behind the two.

From 7.4 s on front-kelani-23 writes less and less while its links' open connections grow from 6 to 82 at 13.2 s and its goroutines from 128 to 304; a 20 ms timer there is late by 1 to 4 ms, where it was late by 62 to 145 ms from 4.1 to 7.2 s, so it lacked neither processor nor, with 5 kB in 0.5 s sent, link. At 17.2 s 85 goroutines wait for the broadcaster's lock in linkUp, 13 in flush and 14 in receive, 9 for the budget's in Request and 20 for the monitor's. The numbers stay until 29.4 s but for linkUp (198). TestFlushWhileABudgetIsRenewed reaches the same state with both parts and failed before the change.

Ruled out: too little processor or link (above); the node's roles: it reads the store for its data centre, as front-colombo-fort-21 and front-ragama-18 do, whose goroutines stay at 204 and 253 at most (818 at front-kelani-23); detours: front-colombo-fort-21 logs event 527 for all endpoints and goes on, front-kelani-23 for one to five addresses.

Change: flush collects this node's state before it takes the lock, and no function of the configuration but the clock is called with it. The test of the cost of summaries passes the argument that peerSummaries now takes; what it measures is the same.

--- a/internal/supervisor/broadcaster/broadcaster.go
+++ b/internal/supervisor/broadcaster/broadcaster.go
@@ -160,6 +160,7 @@
 type Broadcaster struct {
 	cfg Config
 
+	// mu is not held while a function of cfg other than Now is called.
 	mu    sync.Mutex
 	peers map[string]*peer
 	// ownReport is this node's last report, reports holds those of other nodes by
@@ -299,24 +300,32 @@
 	delete(t.peers, link.ID)
 }
 
-// flush returns the message for a peer, or nil if there is none.
+// flush returns the message for a peer, or nil if there is none. It calls the functions
+// of the configuration without the lock: they take locks under which others call the
+// Broadcaster, as a Budgeter does while it renews an allowance.
 func (t *Broadcaster) flush(link linker.Link) []byte {
 	now := t.cfg.Now()
+	var m message
+	var near bool
+	if t.isStateDue(link, now) {
+		m.HasState, m.Slow, m.Spent, m.Era = true, t.slow(), t.spent(), t.cfg.Era()
+		if m.HasLoads = t.cfg.SmallFleet(); m.HasLoads {
+			m.Loads = t.loads()
+		}
+		near = t.cfg.CentreOf(link.Address) == t.cfg.Centre
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.peers[link.ID]
 	if p == nil {
 		return nil
 	}
-	var m message
 	m.Unreachable, p.unreachable = p.unreachable, nil
 	m.Leaving, p.leaving = p.leaving, nil
-	if now.Sub(p.lastSent) >= sendInterval {
+	if m.HasState {
 		p.lastSent = now
-		m.HasState, m.Slow, m.Spent, m.Era = true, t.slow(), t.spent(), t.cfg.Era()
-		m.Summaries = t.peerSummaries(p, now)
-		if m.HasLoads = t.cfg.SmallFleet(); m.HasLoads {
-			m.Loads = t.loads()
+		if !m.HasLoads {
+			m.Summaries = t.peerSummaries(p, near, now)
 		}
 	}
 	if !m.HasState && len(m.Unreachable)+len(m.Leaving) == 0 {
@@ -329,6 +338,14 @@
 	return body
 }
 
+// isStateDue reports whether this node's state is to be sent over a link.
+func (t *Broadcaster) isStateDue(link linker.Link, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.peers[link.ID]
+	return p != nil && now.Sub(p.lastSent) >= sendInterval
+}
+
 // loads returns this node's loads as they are sent.
 func (t *Broadcaster) loads() []Load {
 	var loads []Load
--- a/internal/supervisor/broadcaster/broadcaster_test.go
+++ b/internal/supervisor/broadcaster/broadcaster_test.go
@@ -7,6 +7,7 @@
 
 	"banyanquay/internal/encoder"
 	"banyanquay/internal/supervisor/forwarder/budgeter"
+	"banyanquay/internal/supervisor/forwarder/forecaster"
 	"banyanquay/internal/supervisor/linker"
 )
 
@@ -222,3 +223,89 @@
 		}
 	}
 }
+
+// A budget asks for what other nodes have spent while it holds its own lock. A message that
+// is made meanwhile asks that budget what this node has spent: if the broadcaster holds its
+// lock then, both wait for each other forever, and the node with them.
+func TestFlushWhileABudgetIsRenewed(t *testing.T) {
+	for name, largeFleet := range map[string]bool{"small fleet": false, "large fleet": true} {
+		t.Run(name, func(t *testing.T) {
+			n := newNode("a")
+			n.largeFleet = largeFleet
+			renewing, flushing := make(chan struct{}), make(chan struct{})
+			budget := budgeter.New(budgeter.Config{
+				Limits: func() (float64, float64) { return 0.1, 10 },
+				Window: 10 * time.Second,
+				Nodes:  func() int { return 2 },
+				Others: func(service string) (budgeter.Usage, int) {
+					close(renewing)
+					<-flushing
+					return n.PeerSpent(service)
+				},
+				Now: n.cfg.Now,
+			})
+			n.cfg.Spent = func() map[string]budgeter.Usage {
+				close(flushing)
+				return budget.Usage()
+			}
+			at := linker.Link{ID: "1", Address: "b"}
+			n.linkUp(at)
+			done := make(chan bool, 2)
+			go func() {
+				budget.TakeRetry("s", false)
+				done <- true
+			}()
+			<-renewing
+			go func() {
+				n.flush(at)
+				done <- true
+			}()
+			timeout := time.After(5 * time.Second)
+			for range 2 {
+				select {
+				case <-done:
+				case <-timeout:
+					t.Fatal("the budget and the message wait for each other")
+				}
+			}
+		})
+	}
+}
+
+// The functions of the configuration may take locks under which other parts call the
+// broadcaster; called with its own lock held, any of them can block the node forever.
+func TestFlushCallsNothingWithItsLock(t *testing.T) {
+	for name, largeFleet := range map[string]bool{"small fleet": false, "large fleet": true} {
+		t.Run(name, func(t *testing.T) {
+			n := newNode("a")
+			n.largeFleet = largeFleet
+			var held []string
+			check := func(function string) {
+				if !n.mu.TryLock() {
+					held = append(held, function)
+					return
+				}
+				n.mu.Unlock()
+			}
+			cfg := n.cfg
+			n.cfg.Loads = func() map[string]int { check("Loads"); return cfg.Loads() }
+			n.cfg.SmallFleet = func() bool { check("SmallFleet"); return cfg.SmallFleet() }
+			n.cfg.CentreOf = func(address string) string { check("CentreOf"); return cfg.CentreOf(address) }
+			n.cfg.CentreLoads = func() []forecaster.CentreLoad { check("CentreLoads"); return cfg.CentreLoads() }
+			n.cfg.Spent = func() map[string]budgeter.Usage { check("Spent"); return cfg.Spent() }
+			n.cfg.Era = func() uint64 { check("Era"); return cfg.Era() }
+			n.cfg.Paces = func() map[string]float64 { check("Paces"); return cfg.Paces() }
+			at := linker.Link{ID: "1", Address: "b"}
+			n.linkUp(at)
+			n.summarise()
+			if n.flush(at) == nil {
+				t.Error("no message was sent")
+			}
+			n.Report()
+			n.HandleReport("b", nil)
+			if len(held) > 0 {
+				t.Errorf("called with the lock held: %v", held)
+			}
+		})
+	}
+}
--- a/internal/supervisor/broadcaster/summary.go
+++ b/internal/supervisor/broadcaster/summary.go
@@ -157,13 +157,13 @@
 	return newest, now.Sub(newest) <= maxReportAge
 }
 
-// peerSummaries returns the summaries to send to a peer: between data centres those of
-// this one, and within one those of the others, over the links that this node opened.
-// So each node gets them from several others. The caller must hold mu.
-func (t *Broadcaster) peerSummaries(p *peer, now time.Time) []Summary {
+// peerSummaries returns the summaries to send to a peer of a large fleet: between data
+// centres those of this one, and within one those of the others, over the links that this
+// node opened. So each node gets them from several others. near is set if the peer is in
+// this node's data centre. The caller must hold mu.
+func (t *Broadcaster) peerSummaries(p *peer, near bool, now time.Time) []Summary {
 	own := shortID(t.cfg.Centre)
-	near := t.cfg.CentreOf(p.address) == t.cfg.Centre
-	if t.cfg.SmallFleet() || (near && !p.dialled) || now.Sub(p.summarised) < summaryInterval {
+	if (near && !p.dialled) || now.Sub(p.summarised) < summaryInterval {
 		return nil
 	}
 	p.summarised = now
--- a/internal/supervisor/broadcaster/summary_test.go
+++ b/internal/supervisor/broadcaster/summary_test.go
@@ -220,8 +220,9 @@
 		return
 	}
 	began := time.Now()
+	near := from.cfg.CentreOf(out.Address) == from.cfg.Centre
 	from.mu.Lock()
-	sent := from.peerSummaries(&peer{address: out.Address, dialled: out.Dialled}, f.now)
+	sent := from.peerSummaries(&peer{address: out.Address, dialled: out.Dialled}, near, f.now)
 	from.mu.Unlock()
 	part, _ := encoder.CBOR(sent)
 	received, _ := encoder.FromCBOR[[]Summary](part)
--- a/internal/supervisor/forwarder/budgeter/budgeter.go
+++ b/internal/supervisor/forwarder/budgeter/budgeter.go
@@ -43,7 +43,8 @@
 	// Nodes returns the number of nodes that share the budget.
 	Nodes func() int
 	// Others returns what the other nodes have sent in the last window, as far as
-	// they have reported it, and how many nodes have reported.
+	// they have reported it, and how many nodes have reported. It is called with the
+	// Budgeter's lock held and must not wait for a call to the Budgeter.
 	Others func(service string) (spent Usage, nodes int)
 	// Started is when this process began; the zero value means now.
 	Started time.Time
