Let streams that wait for a permit look for engines again

Cause: since a stream in progress waits until its time is up, and the wait for a permit slept until the first engine that wants no requests takes them again. Evidence: TestStreamsThatWaitForAPermitUseNewEngines failed before the change.

--- a/internal/supervisor/forwarder/limit.go
+++ b/internal/supervisor/forwarder/limit.go
@@ -110,7 +110,9 @@
 // awaitPermit chooses endpoints until one takes the request, or there is none left and
 // none will take it soon.
 func (f *Forwarder) awaitPermit(c *call, choose func() (id string, ok bool)) {
-	deadline := f.cfg.Now().Add(max(maxLimitWait, f.patience(c)))
+	// A stream in progress that gets no permit meanwhile looks for a path again, among the
+	// endpoints that there are then.
+	deadline := f.cfg.Now().Add(max(maxLimitWait, min(f.patience(c), resumedTimeout)))
 	c.limited = make(map[string]bool)
 	for {
 		id, ok := choose()
--- /dev/null
+++ b/internal/supervisor/forwarder/waiting_test.go
@@ -0,0 +1,39 @@
+package forwarder
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanquay/internal/registrar"
+	"banyanquay/internal/standin/emulator"
+)
+
+// update changes the table of endpoints.
+func (w *harness) update(changes ...registrar.Change) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.table = w.table.With(time.Now(), time.Now(), changes)
+}
+
+// An engine wants no requests for 12 s, and another one is registered 0.5 s after streams have lost
+// theirs. Guards against streams that sleep until the first one takes requests again.
+func TestStreamsThatWaitForAPermitUseNewEngines(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, entries := engines(map[string][][2]int{"a": {{0, 80}, {0, 80}, {0, 80}}})
+		e := emulator.New(emulator.Defaults(), all)
+		w := newHarness(t, e.Relay(), entries...)
+		added, _ := w.table.Get("a2")
+		w.update(registrar.Change{ID: "a2"})
+		w.retrySlack = 2000
+		w.waitLonger()
+		w.f.cfg.Throttler.BackOff("a1", 12*time.Second)
+		checkStreams(t, w.runStreams(t, 8, func() {
+			e.Kill("a0:1", false)
+			time.AfterFunc(500*time.Millisecond, func() { w.update(registrar.Change{ID: "a2", Entry: &added}) })
+		}))
+		if got, want := longestPause(w), 2*time.Second; got > want {
+			t.Errorf("longest pause: got %v, want at most %v, after which callers leave", got, want)
+		}
+	})
+}
