Try engines again that took no connection

Cause: an engine at which a send failed before anything was written was left out for the rest of the request; only those that had refused were tried again. Evidence: TestStreamsTryUnreachableEnginesAgain failed before, with the streams aborted.

--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -211,7 +211,8 @@
 	// paid is set while a retry has been taken from the budget for the next attempt at a plain
 	// service.
 	paid atomic.Bool
-	// refusedBy holds those of them that refused the request and may have room later.
+	// refusedBy holds those of them that refused the request, or took no connection, and may take it
+	// later.
 	refusedBy []string
 	// limited holds the IDs of the endpoints that took no more requests when an endpoint
 	// was last chosen.
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -307,7 +307,9 @@
 	first := s.snapshot().first()
 	var unsent *driver.Unsent
 	stopped, cutOff := false, false
-	if !errors.As(broken.err, &unsent) {
+	if errors.As(broken.err, &unsent) {
+		c.refusedBy = append(c.refusedBy, first.ID)
+	} else {
 		stopped = f.prober.stopped(first.Address)
 		// Asked after the probe, which finds out whether this node is cut off.
 		cutOff = errors.Is(cause, errCutOff) || (!s.snapshot().detoured && f.cutOffFrom(first.Address))
--- a/internal/supervisor/forwarder/waiting_test.go
+++ b/internal/supervisor/forwarder/waiting_test.go
@@ -1,10 +1,14 @@
 package forwarder
 
 import (
+	"context"
+	"errors"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"banyanquay/internal/driver"
 	"banyanquay/internal/registrar"
 	"banyanquay/internal/standin/emulator"
 )
@@ -37,3 +41,32 @@
 		}
 	})
 }
+
+// The only engine that is left takes no connection for a second. Guards against streams that try it
+// once and then wait for another one until their time is up.
+func TestStreamsTryUnreachableEnginesAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		all, entries := engines(map[string][][2]int{"a": {{0, 80}}, "b": {{0, 80}}})
+		e := emulator.New(emulator.Defaults(), all)
+		relay := e.Relay()
+		send := relay.Send
+		var unreachable atomic.Bool
+		relay.Send = func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+			if unreachable.Load() && address == "b0:1" {
+				return driver.Reply{}, &driver.Unsent{Err: errors.New("i/o timeout")}
+			}
+			return send(ctx, address, f)
+		}
+		w := newHarness(t, relay, entries...)
+		w.retrySlack = 2000
+		w.waitLonger()
+		checkStreams(t, w.runStreams(t, 8, func() {
+			unreachable.Store(true)
+			e.Kill("a0:1", false)
+			time.AfterFunc(time.Second, func() { unreachable.Store(false) })
+		}))
+		if got, want := longestPause(w), 2*time.Second; got > want {
+			t.Errorf("longest pause: got %v, want at most %v, after which callers leave", got, want)
+		}
+	})
+}
