Take a stream's retry when it is sent

Cause: since a stream in progress took its retry and then waited for a path, for as long as its caller does. Retries that are taken in one window were sent in a later one, together with those of that window. Change: the path is chosen first and the retry taken right before the send; one that the monitor has taken when it ended an attempt is good for a second.

--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -154,24 +154,6 @@
 	return grouper.Sleep(c.r.Context(), interval)
 }
 
-// takeRetry takes a retry from the budget, unless the monitor has taken it already. A stream
-// whose caller has events waits for one.
-func (f *Forwarder) takeRetry(c *call, s *session) bool {
-	if s.usePaidRetry() {
-		return true
-	}
-	began, limit := f.cfg.Now(), f.patience(c)
-	for {
-		if f.cfg.Budget.TakeRetry(c.service, c.begun()) {
-			return true
-		}
-		if !f.wait(c, began, limit) {
-			f.cfg.Counters.Retries.Add("budget_spent", 1)
-			return false
-		}
-	}
-}
-
 // budgetRetryDelay returns the Retry-After of a request for which the retry budget
 // is spent. Budgets are renewed twice a second; the random part keeps callers from
 // retrying together.
--- a/internal/supervisor/forwarder/limit.go
+++ b/internal/supervisor/forwarder/limit.go
@@ -132,19 +132,23 @@
 }
 
 // paidPath returns the path of a request's next attempt, for which it takes a retry from the
-// budget unless it is the first. A request without an event chooses its path before, so that
-// it takes none if no path has room; a stream may wait for a retry, and its path is chosen
-// after that.
+// budget unless it is the first. The retry is taken last: one that is sent much later than it was
+// taken counts in the wrong window. A stream whose caller has events waits for a retry, and looks
+// for a path only while there is one, since that may take a permit.
 func (f *Forwarder) paidPath(c *call, s *session) ([]pathfinder.Stage, error) {
-	spent := refuser.New(refuser.RetryBudgetSpent, "the retry budget is spent").WithWait(budgetRetryDelay())
-	if c.arrived && c.begun() && !f.takeRetry(c, s) {
-		return nil, spent
-	}
-	path, err := f.awaitPath(c, s.version)
-	if err == nil && c.arrived && !c.begun() && !f.takeRetry(c, s) {
-		return nil, spent
+	began, limit := f.cfg.Now(), f.patience(c)
+	for {
+		if !c.arrived || !c.begun() || s.mayRetry() {
+			path, err := f.awaitPath(c, s.version)
+			if err != nil || !c.arrived || s.takeRetry() {
+				return path, err
+			}
+		}
+		if !f.wait(c, began, limit) {
+			f.cfg.Counters.Retries.Add("budget_spent", 1)
+			return nil, refuser.New(refuser.RetryBudgetSpent, "the retry budget is spent").WithWait(budgetRetryDelay())
+		}
 	}
-	return path, err
 }
 
 // refusedRetryDelay is how long a stream in progress that finds no path leaves out the
--- a/internal/supervisor/forwarder/session.go
+++ b/internal/supervisor/forwarder/session.go
@@ -58,8 +58,8 @@
 	// runs counts the attempts that an engine started and that count against the
 	// route's limit.
 	runs int
-	// paid is set while a retry has been taken from the budget for the next attempt.
-	paid bool
+	// paidAt is when a retry was taken from the budget for the next attempt; zero if none was.
+	paidAt time.Time
 	// detoured is set once the attempt's first engine is called by way of another node.
 	detoured bool
 }
@@ -129,14 +129,19 @@
 	s.runs++
 }
 
+// paidTTL is how long a retry that payRetry has taken is used. It is far below the window in which
+// retries are counted.
+const paidTTL = time.Second
+
 // payRetry takes a retry from the budget for the attempt that follows that of state, unless one is
 // taken already. It reports whether there is one, and the attempt still the current one.
 func (s *session) payRetry(state snapshot) bool {
+	current := func() bool { return s.cancel != nil && s.attempt == state.attempt }
 	s.mu.Lock()
-	current, paid := s.cancel != nil && s.attempt == state.attempt, s.paid
+	going, paid := current(), s.hasPaid()
 	s.mu.Unlock()
-	if !current || paid {
-		return current
+	if !going || paid {
+		return going
 	}
 	// The budget asks other parts of the node, so that the session isn't locked meanwhile.
 	if !s.f.cfg.Budget.TakeRetry(s.c.service, state.events > 0) {
@@ -144,17 +149,31 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.paid = true
-	return s.cancel != nil && s.attempt == state.attempt
+	s.paidAt = s.f.cfg.Now()
+	return current()
+}
+
+// hasPaid reports whether payRetry has just taken a retry. The caller holds s.mu.
+func (s *session) hasPaid() bool {
+	return !s.paidAt.IsZero() && s.f.cfg.Now().Sub(s.paidAt) < paidTTL
 }
 
-// usePaidRetry uses the retry that payRetry has taken, and reports whether there was one.
-func (s *session) usePaidRetry() bool {
+// mayRetry reports whether takeRetry would succeed now.
+func (s *session) mayRetry() bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	paid := s.paid
-	s.paid = false
-	return paid
+	paid := s.hasPaid()
+	s.mu.Unlock()
+	return paid || s.f.cfg.Budget.CanRetry(s.c.service, s.c.begun())
+}
+
+// takeRetry takes a retry for the next attempt, unless payRetry has just done so. It reports
+// whether there is one.
+func (s *session) takeRetry() bool {
+	s.mu.Lock()
+	paid := s.hasPaid()
+	s.paidAt = time.Time{}
+	s.mu.Unlock()
+	return paid || s.f.cfg.Budget.TakeRetry(s.c.service, s.c.begun())
 }
 
 // recordEvent records the arrival of an event and returns the number of events of the
--- a/internal/supervisor/forwarder/waiting_test.go
+++ b/internal/supervisor/forwarder/waiting_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"sort"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -70,3 +72,47 @@
 		}
 	})
 }
+
+// Streams lose their engine, and no other one is there for 11.5 s, longer than the budget's window.
+// Guards against retries that are taken long before they are sent, and then sent with those of a later
+// window.
+func TestRetriesAreTakenWhenTheyAreSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const (
+			streams = 80
+			slack   = 20
+			window  = 10 * time.Second
+		)
+		all, entries := engines(map[string][][2]int{"a": {{0, 80}}, "b": {{0, 80}}})
+		e := emulator.New(emulator.Defaults(), all)
+		relay := e.Relay()
+		send := relay.Send
+		var mu sync.Mutex
+		var sends []time.Time
+		relay.Send = func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+			mu.Lock()
+			sends = append(sends, time.Now())
+			mu.Unlock()
+			return send(ctx, address, f)
+		}
+		w := newHarness(t, relay, entries...)
+		later, _ := w.table.Get("b0")
+		w.update(registrar.Change{ID: "b0"})
+		w.retrySlack = slack
+		w.f.cfg.MaxConfirmationAge = func() time.Duration { return time.Hour }
+		w.waitLonger()
+		w.runStreams(t, streams, func() {
+			e.Kill("a0:1", false)
+			w.update(registrar.Change{ID: "a0"})
+			time.AfterFunc(11500*time.Millisecond, func() { w.update(registrar.Change{ID: "b0", Entry: &later}) })
+		})
+		most, again := 0, sends[streams:]
+		for i, first := range again {
+			n := sort.Search(len(again)-i, func(k int) bool { return again[i+k].Sub(first) >= window })
+			most = max(most, n)
+		}
+		if got, want := most, slack+streams/5; got > want {
+			t.Errorf("retries in %v: got %d, want at most %d", window, got, want)
+		}
+	})
+}
