Make room for a lookup's next attempt only when there is one

Cause: chose whether there is another endpoint when the attempt began, and asked for the retry once. Evidence: TestLookupAtAHungEndpointWaitsForARetry and TestLookupGoesOnWhenTheOtherEndpointLeaves failed before.

--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -5,14 +5,17 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"go.uber.org/zap"
 
 	"banyanquay/internal/driver"
+	"banyanquay/internal/grouper"
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/registrar"
@@ -195,14 +198,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if limit, ok := f.retryTimeout(c); ok {
-		// The attempt goes on unless the budget has a retry for its successor.
-		retry := time.AfterFunc(limit, func() {
-			if f.cfg.Budget.TakeRetry(c.service, false) {
-				c.paid.Store(true)
-				cancel(errStalled)
-			}
-		})
-		defer retry.Stop()
+		tried := maps.Clone(c.tried)
+		f.start("retry", func() { f.endForRetry(ctx, c, plainRetry{after: limit, tried: tried, cancel: cancel}) })
 	}
 	defer f.plain.begin(c, cancel)()
 	o := f.exchange(ctx, c, e)
@@ -256,17 +253,44 @@
 }
 
 // retryTimeout is how long an attempt at a plain service may take while another endpoint may be
-// tried, and whether one may.
+// tried, and whether the route allows one.
 func (f *Forwarder) retryTimeout(c *call) (time.Duration, bool) {
 	if !c.route.Repeatable() || c.runs+1 >= c.route.Attempts || c.route.Target <= 0 {
 		return 0, false
 	}
-	if _, ok := f.chooseEndpoint(c); !ok {
-		return 0, false
-	}
 	return max(time.Duration(attemptTargetShare*float64(c.route.Target)), minAttemptTimeout), true
 }
 
+// plainRetry is how an attempt at a plain service makes room for another one.
+type plainRetry struct {
+	// after is how long the attempt takes before.
+	after time.Duration
+	// tried holds the endpoints that are not tried again.
+	tried  map[string]bool
+	cancel context.CancelCauseFunc
+}
+
+// endForRetry ends an attempt once there are another endpoint and a retry for it. It runs beside the
+// request's goroutine, until the attempt ends.
+func (f *Forwarder) endForRetry(ctx context.Context, c *call, r plainRetry) {
+	for wait := r.after; grouper.Sleep(ctx, wait); wait = pollInterval {
+		if f.hasOther(c.service, r.tried) && f.cfg.Budget.TakeRetry(c.service, false) {
+			c.paid.Store(true)
+			r.cancel(errStalled)
+			return
+		}
+	}
+}
+
+// hasOther reports whether a plain service has an endpoint that has not been tried and takes
+// requests.
+func (f *Forwarder) hasOther(service string, tried map[string]bool) bool {
+	members, ok := f.members(service)
+	return ok && slices.ContainsFunc(members.entries, func(e registrar.Entry) bool {
+		return !tried[e.ID] && !f.limitReached(e.ID)
+	})
+}
+
 // exchange sends the request and reads the complete answer.
 func (f *Forwarder) exchange(ctx context.Context, c *call, e registrar.Entry) outcome {
 	began := f.cfg.Now()
--- a/internal/supervisor/forwarder/waiting_test.go
+++ b/internal/supervisor/forwarder/waiting_test.go
@@ -116,3 +116,56 @@
 		}
 	})
 }
+
+// The endpoint that is asked first hangs, and the budget has a retry 0.4 s after the attempt may make
+// room. Guards against lookups that ask for a retry once only.
+func TestLookupAtAHungEndpointWaitsForARetry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		first := ""
+		w := newHarness(t, driver.Relay{Send: func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+			if first == "" {
+				first = address
+			}
+			if address == first {
+				<-ctx.Done()
+				return driver.Reply{}, ctx.Err()
+			}
+			return signedReply(200, "ok")(f)
+		}, Probe: acceptConnections}, plainEntries()...)
+		w.retrySlack = 0
+		time.AfterFunc(600*time.Millisecond, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.retrySlack = 200
+		})
+		a := w.send(t.Context(), "GET", pathGet+"1", "r1", "")
+		if got, want := a.Code, 200; got != want {
+			t.Errorf("status: got %d, want %d, %s", got, want, a.Body)
+		}
+	})
+}
+
+// The other endpoint leaves while the first attempt goes on. Guards against an attempt that is ended
+// for a successor that is no longer there.
+func TestLookupGoesOnWhenTheOtherEndpointLeaves(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var w *harness
+		w = newHarness(t, driver.Relay{Send: func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+			for _, id := range []string{"d1", "d2"} {
+				if id+":1" != address {
+					w.update(registrar.Change{ID: id})
+				}
+			}
+			select {
+			case <-time.After(time.Second):
+				return signedReply(200, "ok")(f)
+			case <-ctx.Done():
+				return driver.Reply{}, ctx.Err()
+			}
+		}, Probe: acceptConnections}, plainEntries()...)
+		a := w.send(t.Context(), "GET", pathGet+"1", "r1", "")
+		if got, want := a.Code, 200; got != want {
+			t.Errorf("status: got %d, want %d, %s", got, want, a.Body)
+		}
+	})
+}
