Cut off no stream that lacks its end only

Cause: takes an answer without events for one that lacks the rest of the stream, which is right if the endpoint before broke off. Here the node itself had ended the attempt. Change: after an attempt that the node ended, an answer without events ends the stream. Evidence: TestStreamThatLacksItsEndOnlyIsComplete failed before: aborted, with 311 of 311 bytes.

--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -206,6 +206,9 @@
 	lastEventID string
 	// numbering is how the IDs of the events rise that the caller got.
 	numbering numbering
+	// ended is set if this node ended the last attempt that was answered. Its stream may have lacked
+	// nothing but its end then, which only the endpoint of the next attempt can tell.
+	ended bool
 	// tried holds the IDs of the endpoints that are not tried again.
 	tried map[string]bool
 	// paid is set while a retry has been taken from the budget for the next attempt at a plain
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -289,6 +289,9 @@
 	first := s.snapshot().first()
 	var unsent *driver.Unsent
 	stopped, cutOff := false, false
+	if broken.answering {
+		c.ended = errors.Is(cause, errStalled) || errors.Is(cause, errCutOff) || errors.Is(cause, errSilent)
+	}
 	if errors.As(broken.err, &unsent) {
 		c.refusedBy = append(c.refusedBy, first.ID)
 	} else {
@@ -365,7 +368,7 @@
 	for {
 		e, err := nextEvent(r, buf)
 		if errors.Is(err, io.EOF) {
-			if state := s.snapshot(); c.answered && state.attemptEvents == 0 && !c.atMaximum(state.events) {
+			if state := s.snapshot(); c.answered && state.attemptEvents == 0 && !c.ended && !c.atMaximum(state.events) {
 				return errNotContinued
 			}
 			if !c.answered {
--- a/internal/supervisor/forwarder/waiting_test.go
+++ b/internal/supervisor/forwarder/waiting_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
+	"net/http"
 	"sort"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -169,3 +173,61 @@
 		}
 	})
 }
+
+// bodyWithLateEnd is a body whose end comes some time after its last byte.
+type bodyWithLateEnd struct {
+	io.Reader
+	ctx   context.Context
+	delay time.Duration
+}
+
+func (b *bodyWithLateEnd) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if n > 0 || err == nil {
+		return n, err
+	}
+	select {
+	case <-time.After(b.delay):
+		return 0, io.EOF
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	}
+}
+
+func (b *bodyWithLateEnd) Close() error { return nil }
+
+// A sound engine is silent for 1.2 s between the last event of a stream and its end, and the node goes
+// on at another one, which has no event left. Guards against a complete stream that is cut off.
+func TestStreamThatLacksItsEndOnlyIsComplete(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, entries := engines(map[string][][2]int{"a": {{0, 80}}, "b": {{0, 80}}})
+		text := ""
+		for n := range 20 {
+			text += fmt.Sprintf("id: %d\ndata: x\n\n", n+1)
+		}
+		first := ""
+		w := newHarness(t, driver.Relay{
+			Send: func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+				reply := driver.Reply{Status: 200, Signed: true, Echoed: true, Header: http.Header{}, Body: http.NoBody}
+				if f.After == "" {
+					first = address
+					reply.Body = &bodyWithLateEnd{Reader: strings.NewReader(text), ctx: ctx, delay: 1200 * time.Millisecond}
+				}
+				return reply, nil
+			},
+			Probe: acceptConnections,
+			Report: func(context.Context, string, string) (driver.Report, error) {
+				return driver.Report{Pace: 1, Stalled: map[string]string{"r0": first}}, nil
+			},
+		}, entries...)
+		w.waitLonger()
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() { _ = w.f.Step().Run(ctx) }()
+		a := w.send(ctx, "POST", pathLLM+"1", "r0", "800,200")
+		cancel()
+		time.Sleep(2 * time.Second) // lets pending probes and requests end
+		if a.aborted || a.Body.String() != text {
+			t.Errorf("aborted: %v, got %d bytes, want %d", a.aborted, a.Body.Len(), len(text))
+		}
+	})
+}
