--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -368,7 +368,7 @@
 	for {
 		e, err := nextEvent(r, buf)
 		if errors.Is(err, io.EOF) {
-			if state := s.snapshot(); c.answered && state.attemptEvents == 0 && !c.ended && !c.atMaximum(state.events) {
+			if c.lacksEvents(s.snapshot()) {
 				return errNotContinued
 			}
 			if !c.answered {
@@ -446,6 +446,12 @@
 	}
 }
 
+// lacksEvents reports whether an answer that continues the stream and has ended without an event
+// must be taken for one that lacks the rest of it.
+func (c *call) lacksEvents(state snapshot) bool {
+	return c.answered && state.attemptEvents == 0 && !c.ended && !c.atMaximum(state.events)
+}
+
 // atMaximum reports whether a number of events is the most that the request allows. Nothing in
 // a stream marks its last event, so that a shorter one is known to be complete only by the end
 // of the answer that it is in.
