Call nothing with the budget's lock held

Evidence: before the change TestConfigurationIsCalledWithoutTheLock reported Limits, Nodes and Others for each of two allowances, and in TestRenewalOfAnotherCallIsKept a second call waited for 5 s, the whole limit, for one that was in Others.

Change: the functions are called between two holds of the lock. What they return renews the allowance only if no other call has renewed it meanwhile: it may lack what the other nodes have sent since. If that renewal has expired, too, they are called again. So no retry is taken from an expired allowance, and none from one made of older reports than the last renewal had. Without the check for a renewal in between, TestRenewalOfAnotherCallIsKept fails: the call that waited took a retry from a spent budget.

--- a/internal/supervisor/broadcaster/broadcaster.go
+++ b/internal/supervisor/broadcaster/broadcaster.go
@@ -301,8 +301,8 @@
 }
 
 // flush returns the message for a peer, or nil if there is none. It calls the functions
-// of the configuration without the lock: they take locks under which others call the
-// Broadcaster, as a Budgeter does while it renews an allowance.
+// of the configuration without the lock: they take locks under which others may call the
+// Broadcaster.
 func (t *Broadcaster) flush(link linker.Link) []byte {
 	now := t.cfg.Now()
 	var m message
--- a/internal/supervisor/forwarder/budgeter/budgeter.go
+++ b/internal/supervisor/forwarder/budgeter/budgeter.go
@@ -43,8 +43,7 @@
 	// Nodes returns the number of nodes that share the budget.
 	Nodes func() int
 	// Others returns what the other nodes have sent in the last window, as far as
-	// they have reported it, and how many nodes have reported. It is called with the
-	// Budgeter's lock held and must not wait for a call to the Budgeter.
+	// they have reported it, and how many nodes have reported.
 	Others func(service string) (spent Usage, nodes int)
 	// Started is when this process began; the zero value means now.
 	Started time.Time
@@ -56,6 +55,7 @@
 type Budgeter struct {
 	cfg Config
 
+	// mu is not held while a function of cfg other than Now is called.
 	mu       sync.Mutex
 	services map[string]*usageWindow
 }
@@ -125,32 +125,75 @@
 	return sum
 }
 
-// renew sets a new allowance once the old one has expired: this node's part of what
-// remains of the shared budget.
-func (b *Budgeter) renew(service string, c *usageWindow) {
-	now := b.cfg.Now()
-	if now.Sub(c.renewedAt) < renewInterval {
-		return
-	}
-	c.renewedAt = now
-	ratio, slack := b.cfg.Limits()
+// terms are what an allowance depends on besides what this node has sent. They are an
+// immutable value.
+type terms struct {
+	// replaces is when the allowance that they replace was renewed.
+	replaces time.Time
+	// at is the time before the functions of the configuration were called.
+	at       time.Time
+	ratio    float64
+	slack    float64
+	nodes    int
+	others   Usage
+	reported int
+}
+
+// terms returns the present terms of a service, for an allowance that was renewed at
+// replaces. It calls the functions of the configuration without the lock: they take locks
+// under which other parts may call the Budgeter.
+func (b *Budgeter) terms(service string, replaces time.Time) terms {
+	t := terms{replaces: replaces, at: b.cfg.Now()}
+	t.ratio, t.slack = b.cfg.Limits()
 	// What an earlier process of this node has spent is not known, so the slack
 	// becomes available gradually over the first window.
-	slack *= min(float64(now.Sub(b.cfg.Started))/float64(b.cfg.Window), 1)
-	nodes := max(b.cfg.Nodes(), 1)
+	t.slack *= min(float64(t.at.Sub(b.cfg.Started))/float64(b.cfg.Window), 1)
+	t.nodes = max(b.cfg.Nodes(), 1)
+	t.others, t.reported = b.cfg.Others(service)
+	return t
+}
+
+// renew sets a new allowance: this node's part of what remains of the shared budget.
+func (c *usageWindow) renew(t terms) {
+	c.renewedAt = t.at
 	own := c.total()
-	others, reported := b.cfg.Others(service)
-	if reported < nodes-1 {
+	if t.reported < t.nodes-1 {
 		// Without reports of all other nodes, a node uses no more than its equal
 		// part. Nodes that have reports of different others would otherwise both
 		// spend the same remainder.
-		budget := safetyFactor * (ratio*float64(own.Requests) + slack/float64(nodes))
+		budget := safetyFactor * (t.ratio*float64(own.Requests) + t.slack/float64(t.nodes))
 		c.allowance, c.reserved = max(budget-float64(own.Retries), 0), reservedShare*budget
 		return
 	}
-	budget := safetyFactor * (ratio*float64(own.Requests+others.Requests) + slack)
-	c.allowance = max(budget-float64(own.Retries+others.Retries), 0) / float64(nodes)
-	c.reserved = reservedShare * budget / float64(nodes)
+	budget := safetyFactor * (t.ratio*float64(own.Requests+t.others.Requests) + t.slack)
+	c.allowance = max(budget-float64(own.Retries+t.others.Retries), 0) / float64(t.nodes)
+	c.reserved = reservedShare * budget / float64(t.nodes)
+}
+
+// withAllowance returns the result of use, which it calls with the lock held and the usage
+// of a service whose allowance has not expired.
+func (b *Budgeter) withAllowance(service string, use func(c *usageWindow) bool) bool {
+	result, expired, renewedAt := b.try(service, nil, use)
+	for expired {
+		t := b.terms(service, renewedAt)
+		result, expired, renewedAt = b.try(service, &t, use)
+	}
+	return result
+}
+
+// try calls use unless the allowance has expired. The terms, nil if there are none, renew
+// the allowance that they replace. If another call has renewed it meanwhile, they are not
+// used: they may lack what the other nodes have sent since.
+func (b *Budgeter) try(service string, t *terms, use func(c *usageWindow) bool) (result, expired bool, renewedAt time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.current(service)
+	if t != nil && t.replaces.Equal(c.renewedAt) {
+		c.renew(*t)
+	} else if b.cfg.Now().Sub(c.renewedAt) >= renewInterval {
+		return false, true, c.renewedAt
+	}
+	return use(c), false, c.renewedAt
 }
 
 // Request counts a caller's request to a service.
@@ -164,20 +207,12 @@
 // TakeRetry takes one retry out of the budget, and reports whether there was one. begun
 // is set for a request whose answer has begun.
 func (b *Budgeter) TakeRetry(service string, begun bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c := b.current(service)
-	b.renew(service, c)
-	return c.take(begun)
+	return b.withAllowance(service, func(c *usageWindow) bool { return c.take(begun) })
 }
 
 // CanRetry reports whether TakeRetry would succeed now.
 func (b *Budgeter) CanRetry(service string, begun bool) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	c := b.current(service)
-	b.renew(service, c)
-	return c.allows(begun)
+	return b.withAllowance(service, func(c *usageWindow) bool { return c.allows(begun) })
 }
 
 // Usage returns what this node has sent in the last window, by service.
--- a/internal/supervisor/forwarder/budgeter/budgeter_test.go
+++ b/internal/supervisor/forwarder/budgeter/budgeter_test.go
@@ -1,6 +1,8 @@
 package budgeter
 
 import (
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -212,3 +214,112 @@
 		t.Errorf("retries of begun answers: got %v, want at least %v, less one a node", got, want)
 	}
 }
+
+// The functions of the configuration may take locks under which other parts call the
+// budgeter; called with its own lock held, any of them can block the node forever.
+func TestConfigurationIsCalledWithoutTheLock(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var b *Budgeter
+	var called, held []string
+	check := func(function string) {
+		called = append(called, function)
+		if !b.mu.TryLock() {
+			held = append(held, function)
+			return
+		}
+		b.mu.Unlock()
+	}
+	b = New(Config{
+		Limits: func() (float64, float64) { check("Limits"); return 0.2, 10 },
+		Window: window,
+		Nodes:  func() int { check("Nodes"); return 2 },
+		Others: func(string) (Usage, int) { check("Others"); return Usage{}, 1 },
+		Now:    func() time.Time { return now },
+	})
+	b.Request("s")
+	b.TakeRetry("s", true)
+	now = now.Add(renewInterval)
+	b.CanRetry("s", true)
+	b.Usage()
+	if got, want := len(called), 6; got != want {
+		t.Errorf("called %v, want each function for each of two allowances", called)
+	}
+	if len(held) > 0 {
+		t.Errorf("called with the lock held: %v", held)
+	}
+}
+
+// Two calls renew an allowance, and one of them goes on only after the other nodes have spent
+// the budget and the other call has learnt of that: what it was told before must not count.
+func TestRenewalOfAnotherCallIsKept(t *testing.T) {
+	const slack = 20
+	var clock, others atomic.Int64
+	now := func() time.Time { return time.Unix(1000, clock.Load()) }
+	asking, goOn := make(chan bool), make(chan bool)
+	var asked atomic.Bool
+	b := New(Config{
+		Limits: func() (float64, float64) { return 0, slack },
+		Window: window,
+		Nodes:  func() int { return 2 },
+		Others: func(string) (Usage, int) {
+			spent := Usage{Retries: int(others.Load())}
+			if asked.CompareAndSwap(false, true) {
+				asking <- true
+				<-goOn
+			}
+			return spent, 1
+		},
+		Started: now().Add(-window), Now: now,
+	})
+	late, other := make(chan bool, 1), make(chan bool, 1)
+	go func() { late <- b.TakeRetry("s", true) }()
+	<-asking
+	others.Store(slack)
+	clock.Add(int64(renewInterval))
+	go func() { other <- b.TakeRetry("s", true) }()
+	select {
+	case taken := <-other:
+		if taken {
+			t.Error("a retry was taken although the other nodes have spent the budget")
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("a call waits for another one that asks for the other nodes' retries")
+	}
+	close(goOn)
+	if <-late {
+		t.Error("the call that waited took a retry although the other nodes have spent the budget")
+	}
+}
+
+// Calls at the end of each allowance, from many goroutines, must neither wait forever nor
+// spend more than the budget together.
+func TestConcurrentCallsKeepToTheBudget(t *testing.T) {
+	const slack = 50
+	var clock atomic.Int64
+	now := func() time.Time { return time.Unix(1000, clock.Load()) }
+	b := New(Config{
+		Limits:  func() (float64, float64) { return 0, slack },
+		Window:  window,
+		Nodes:   func() int { return 1 },
+		Others:  func(string) (Usage, int) { return Usage{}, 0 },
+		Started: now().Add(-window), Now: now,
+	})
+	var taken atomic.Int64
+	var calls sync.WaitGroup
+	for range 8 {
+		calls.Go(func() {
+			// 8 goroutines times 200 steps of 5 ms are 8 s, less than the window.
+			for range 200 {
+				clock.Add(int64(5 * time.Millisecond))
+				if b.TakeRetry("s", true) {
+					taken.Add(1)
+				}
+				b.CanRetry("s", false)
+			}
+		})
+	}
+	calls.Wait()
+	if got, want := taken.Load(), int64(safetyFactor*slack); got != want {
+		t.Errorf("retries in a window: got %d, want %d", got, want)
+	}
+}
