Release locks when a handler panics

What callers would see: as in, a node that accepts connections and answers nothing. No panic in these places is known; this was found by reading, in the search for other causes of the same state.

Cause: recorder.Guard and the forwarder catch a panic and go on, and Guard says that its function must release its locks with defer. Messages and reports to the broadcaster, messages to the tracker, all updates of the quarantiner and queries to the throttler released theirs with a plain call. A panic there would have left the lock held, and each request asks the quarantiner. A panic in the throttler's query to a home released a lock that was not held, which ends the process.

Change: what runs with these locks is a function of its own that releases them with defer. The broadcaster reads the clock for a report with its lock held, as it does for a message.

--- a/internal/supervisor/broadcaster/broadcaster.go
+++ b/internal/supervisor/broadcaster/broadcaster.go
@@ -378,18 +378,23 @@
 	return slow
 }
 
+// receiveState stores the state in a message from a peer, if it has any.
+func (t *Broadcaster) receiveState(link linker.Link, m message) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if p := t.peers[link.ID]; p != nil && m.HasState {
+		p.setState(m, t.cfg.Now())
+		t.receiveSummaries(m.Summaries, t.cfg.Now())
+	}
+}
+
 // receive handles a message from a peer.
 func (t *Broadcaster) receive(link linker.Link, body []byte) {
 	m, err := encoder.FromCBOR[message](body)
 	if err != nil {
 		return // from a peer of another build; its loads count as unknown
 	}
-	t.mu.Lock()
-	if p := t.peers[link.ID]; p != nil && m.HasState {
-		p.setState(m, t.cfg.Now())
-		t.receiveSummaries(m.Summaries, t.cfg.Now())
-	}
-	t.mu.Unlock()
+	t.receiveState(link, m)
 	for _, id := range m.Unreachable {
 		t.cfg.HandleUnreachable(id)
 	}
--- a/internal/supervisor/broadcaster/broadcaster_test.go
+++ b/internal/supervisor/broadcaster/broadcaster_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"banyanquay/internal/encoder"
+	"banyanquay/internal/recorder"
 	"banyanquay/internal/supervisor/forwarder/budgeter"
 	"banyanquay/internal/supervisor/forwarder/forecaster"
 	"banyanquay/internal/supervisor/linker"
@@ -309,3 +310,29 @@
 		})
 	}
 }
+
+// The linker catches a panic in a handler and goes on. One that leaves the lock held blocks
+// the node forever instead.
+func TestPanicLeavesNoLockHeld(t *testing.T) {
+	a, b := newNode("a"), newNode("b")
+	a.spent = map[string]budgeter.Usage{"s": {Requests: 1}}
+	send := link(a, b, "1")
+	a.largeFleet = true
+	report := a.Report()
+	a.largeFleet = false
+	b.cfg.Now = func() time.Time { panic("unforeseen") }
+	for name, call := range map[string]func(){
+		"message": func() { send() },
+		"report":  func() { b.HandleReport("a", report) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			if recorder.Nop().Guard(name, call) {
+				t.Error("got no panic")
+			}
+			if !b.mu.TryLock() {
+				t.Fatal("the lock is held after a panic")
+			}
+			b.mu.Unlock()
+		})
+	}
+}
--- a/internal/supervisor/broadcaster/pool.go
+++ b/internal/supervisor/broadcaster/pool.go
@@ -95,12 +95,7 @@
 		return nil // from a node of another build; its load counts as unknown
 	}
 	own := report{Loads: t.loads(), Spent: t.spent()}
-	now := t.cfg.Now()
-	t.mu.Lock()
-	t.reports[from] = receivedReport{report: r, at: now}
-	sum := t.sumReports(now)
-	t.trend = t.trend.with(sum.meanUnits(), now)
-	t.mu.Unlock()
+	sum := t.addReport(from, r)
 	sum.add(own, 1)
 	sum.nodes++
 	answer, err := encoder.CBOR(sum.report())
@@ -110,6 +105,18 @@
 	return answer
 }
 
+// addReport stores another node's report and returns the sum over all other nodes with
+// recent reports.
+func (t *Broadcaster) addReport(from string, r report) *aggregate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := t.cfg.Now()
+	t.reports[from] = receivedReport{report: r, at: now}
+	sum := t.sumReports(now)
+	t.trend = t.trend.with(sum.meanUnits(), now)
+	return sum
+}
+
 // sumReports sums the recent reports and drops the others. The caller must hold mu.
 func (t *Broadcaster) sumReports(now time.Time) *aggregate {
 	sum := newAggregate(now)
--- a/internal/supervisor/forwarder/throttler/home.go
+++ b/internal/supervisor/forwarder/throttler/home.go
@@ -43,13 +43,18 @@
 	}
 	g, ok := t.relay(q)
 	if !ok {
-		t.mu.Lock()
-		g = t.grant(q)
-		t.mu.Unlock()
+		g = t.answer(q)
 	}
 	return encoder.CBOR(g)
 }
 
+// answer answers a query out of this node's buckets.
+func (t *Throttler) answer(q query) grant {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.grant(q)
+}
+
 // relay asks the first home in the name of a node that doesn't reach it, and reports whether
 // that answered.
 func (t *Throttler) relay(q query) (grant, bool) {
--- a/internal/supervisor/forwarder/throttler/throttler.go
+++ b/internal/supervisor/forwarder/throttler/throttler.go
@@ -264,9 +264,7 @@
 		if t.cfg.Now().Before(t.failed[home]) {
 			continue
 		}
-		t.mu.Unlock()
-		g, err := t.queryHome(ctx, home, q, queryTimeout)
-		t.mu.Lock()
+		g, err := t.queryUnlocked(ctx, home, q)
 		if err == nil {
 			t.apply(endpoint, l, g, asked)
 			return
@@ -279,6 +277,14 @@
 	t.apply(endpoint, l, g, asked)
 }
 
+// queryUnlocked sends a query to an endpoint's home. The caller must hold mu, which is
+// released during the query.
+func (t *Throttler) queryUnlocked(ctx context.Context, home string, q query) (grant, error) {
+	t.mu.Unlock()
+	defer t.mu.Lock()
+	return t.queryHome(ctx, home, q, queryTimeout)
+}
+
 // recordFailed records that a home didn't answer, unless the caller left. The caller must
 // hold mu.
 func (t *Throttler) recordFailed(ctx context.Context, home string) {
--- a/internal/supervisor/quarantiner/quarantiner.go
+++ b/internal/supervisor/quarantiner/quarantiner.go
@@ -212,16 +212,20 @@
 // update changes what is known, and applies the decision that follows if the change
 // matters for it.
 func (q *Quarantiner) update(change func() (matters bool)) {
+	if q.apply(change) && q.cfg.OnHold != nil {
+		q.cfg.OnHold()
+	}
+}
+
+// apply is update without the call of OnHold. It reports whether a part was quarantined.
+func (q *Quarantiner) apply(change func() (matters bool)) (added bool) {
 	q.mu.Lock()
+	defer q.mu.Unlock()
 	before := q.held
 	if change() {
 		q.settle()
 	}
-	added := q.held > before
-	q.mu.Unlock()
-	if added && q.cfg.OnHold != nil {
-		q.cfg.OnHold()
-	}
+	return q.held > before
 }
 
 // suspected reports whether there is evidence against a part or fingerprint that its last
--- a/internal/supervisor/tracker/exchange.go
+++ b/internal/supervisor/tracker/exchange.go
@@ -59,6 +59,18 @@
 	return encode(msg)
 }
 
+// merge passes a peer's message to the core and returns the changes.
+func (t *Tracker) merge(l linker.Link, msg message) (replicator.Result, []replicator.Change) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.core.receive(t.cfg.Now(), l.ID, l.Address, msg)
+	changes := t.core.takeChanges()
+	if len(changes) > 0 {
+		t.publish()
+	}
+	return r, changes
+}
+
 // receive processes a message from a link's peer.
 func (t *Tracker) receive(l linker.Link, body []byte) {
 	msg, err := encoder.FromCBOR[message](body)
@@ -66,13 +78,7 @@
 		t.cfg.Counters.Fleet.Add("messages_bad", 1)
 		return
 	}
-	t.mu.Lock()
-	r := t.core.receive(t.cfg.Now(), l.ID, l.Address, msg)
-	changes := t.core.takeChanges()
-	if len(changes) > 0 {
-		t.publish()
-	}
-	t.mu.Unlock()
+	r, changes := t.merge(l, msg)
 	if t.recordChanges(changes) || r.Urgent {
 		t.flushSoon()
 	} else if r.Reply {
