--- a/internal/supervisor/locks_test.go
+++ b/internal/supervisor/locks_test.go
@@ -31,8 +31,6 @@
 	"syncer: applyAnswer: IsReader",
 	// The list is read from the store by one goroutine at a time. No request waits for it.
 	"announcer: read: Topics.Newest",
-	// The retry budget has a lock, and calls nothing with it.
-	"forwarder: payRetry: Budget.TakeRetry",
 	// The settings come from an atomic copy.
 	"forwarder/prioritizer: Began: Settings",
 	"forwarder/prioritizer: RejectPath: Settings",
