--- a/internal/supervisor/forwarder/answer.go
+++ b/internal/supervisor/forwarder/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"strconv"
@@ -39,6 +40,23 @@
 	_, _ = c.w.Write(body)
 }
 
+// answerPanic answers a request whose handling has panicked. net/http would close the
+// connection without an answer. It is to be deferred.
+func (f *Forwarder) answerPanic(c *call) {
+	p := recover()
+	if p == nil {
+		return
+	}
+	if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(p)
+	}
+	f.cfg.Recorder.Panicked("request", p, zap.String("request", c.ID))
+	if !c.answered {
+		clear(c.w.Header()) // may have those of an endpoint's reply
+	}
+	f.refuse(c, refuser.New(refuser.InternalError, "%v", p).WithRan(refuser.Maybe))
+}
+
 // resetOldCaller resets the connection of a caller that speaks HTTP/1.0. It has no chunks, so
 // that an answer without a length that is cut off would look complete if its connection were
 // closed.
@@ -56,6 +74,15 @@
 	_ = conn.Close()
 }
 
+// asRefusal converts an error to a refusal.
+func asRefusal(err error) refuser.Refusal {
+	var r refuser.Refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	return refuser.New(refuser.InternalError, "%v", err).WithRan(refuser.Maybe)
+}
+
 // callerLeft returns the refusal of a request whose caller has disconnected. It
 // shows only in the log and the counters.
 func (c *call) callerLeft() refuser.Refusal {
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"go.uber.org/zap"
 
 	"banyanquay/internal/bounder"
 	"banyanquay/internal/counter"
@@ -263,23 +262,6 @@
 	f.serve(c)
 }
 
-// answerPanic answers a request whose handling has panicked. net/http would close the
-// connection without an answer. It is to be deferred.
-func (f *Forwarder) answerPanic(c *call) {
-	p := recover()
-	if p == nil {
-		return
-	}
-	if err, ok := p.(error); ok && errors.Is(err, http.ErrAbortHandler) {
-		panic(p)
-	}
-	f.cfg.Recorder.Panicked("request", p, zap.String("request", c.ID))
-	if !c.answered {
-		clear(c.w.Header()) // may have those of an endpoint's reply
-	}
-	f.refuse(c, refuser.New(refuser.InternalError, "%v", p).WithRan(refuser.Maybe))
-}
-
 // serve serves a caller's request.
 func (f *Forwarder) serve(c *call) {
 	w, r := c.w, c.r
@@ -412,12 +394,3 @@
 		After: c.lastEventID, Priority: c.priority(),
 	}
 }
-
-// asRefusal converts an error to a refusal.
-func asRefusal(err error) refuser.Refusal {
-	var r refuser.Refusal
-	if errors.As(err, &r) {
-		return r
-	}
-	return refuser.New(refuser.InternalError, "%v", err).WithRan(refuser.Maybe)
-}
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -42,12 +41,6 @@
 	maxOverloadDoublings = 4
 	// maxFailureBytes limits the size of a failure reply that is kept for the caller.
 	maxFailureBytes = 64 << 10
-	// resumedTimeout is how long a request that resumes a stream waits for a path, a retry
-	// or a permit before it is refused. A stream in progress waits until its time is up.
-	// After resumedTimeout it polls every slowPollInterval instead of pollInterval.
-	resumedTimeout   = 1300 * time.Millisecond
-	pollInterval     = 50 * time.Millisecond
-	slowPollInterval = 200 * time.Millisecond
 	// minRemaining is the minimum remaining time for another attempt of a generation.
 	minRemaining = 50 * time.Millisecond
 )
@@ -123,37 +116,6 @@
 // it resumes a stream, of an earlier one.
 func (c *call) begun() bool { return c.answered || c.LastEventID != "" }
 
-// patience is how long a request may wait for what its next attempt needs. A refusal tells a
-// caller without events more than silence does; a stream whose answer has begun can only be cut
-// off, so that it waits until its time is up.
-func (f *Forwarder) patience(c *call) time.Duration {
-	switch left, limited := c.remaining(f.cfg.Now(), c.route.Timeout); {
-	case !c.begun():
-		return 0
-	case !c.answered:
-		return resumedTimeout
-	case limited:
-		return max(left-minRemaining, 0)
-	default:
-		return maxSilence
-	}
-}
-
-// wait waits for a moment until what a request's next attempt needs may be there. It
-// reports whether the request goes on: until it has waited for limit since began, and until its
-// caller leaves.
-func (f *Forwarder) wait(c *call, began time.Time, limit time.Duration) bool {
-	waited := f.cfg.Now().Sub(began)
-	if waited > limit || limit <= 0 {
-		return false
-	}
-	interval := pollInterval
-	if waited > resumedTimeout {
-		interval = slowPollInterval
-	}
-	return grouper.Sleep(c.r.Context(), interval)
-}
-
 // budgetRetryDelay returns the Retry-After of a request for which the retry budget
 // is spent. Budgets are renewed twice a second; the random part keeps callers from
 // retrying together.
@@ -406,63 +368,6 @@
 	}
 }
 
-// checkHead checks that an answer can continue the one whose head the caller has: that it is
-// of the same weights, and that its body has the same encoding and, if both name one, type.
-func (c *call) checkHead(s *session, reply driver.Reply) error {
-	if !c.answered {
-		return nil
-	}
-	const contentType, contentEncoding = "Content-Type", "Content-Encoding"
-	begun := c.w.Header()
-	if s.version != "" && reply.Version != "" && reply.Version != s.version {
-		return trace.BadParameter("the stream began with version %s of the weights, the answer has %.40q", s.version, reply.Version)
-	}
-	if got, want := reply.Header.Get(contentEncoding), begun.Get(contentEncoding); got != want {
-		return trace.BadParameter("the stream began with encoding %q, the answer has %.40q", want, got)
-	}
-	got, want := mediaType(reply.Header.Get(contentType)), mediaType(begun.Get(contentType))
-	if got != "" && want != "" && got != want {
-		return trace.BadParameter("the stream began with type %q, the answer has %.40q", want, got)
-	}
-	return nil
-}
-
-// mediaType returns a header's value without its parameters.
-func mediaType(value string) string {
-	value, _, _ = strings.Cut(value, ";")
-	return strings.ToLower(strings.TrimSpace(value))
-}
-
-// checkOrder checks that an event may be the next one that the caller gets. continued is set
-// for the first event of an answer that continues another endpoint's.
-func (c *call) checkOrder(id string, continued bool) error {
-	switch {
-	case !follows(c.lastEventID, id, continued):
-		return errNotInOrder
-	case continued && c.numbering.skips(c.lastEventID, id):
-		return errSkipped
-	default:
-		return nil
-	}
-}
-
-// lacksEvents reports whether an answer that continues the stream and has ended without an event
-// must be taken for one that lacks the rest of it.
-func (c *call) lacksEvents(state snapshot) bool {
-	return c.answered && state.attemptEvents == 0 && !c.ended && !c.atMaximum(state.events)
-}
-
-// atMaximum reports whether a number of events is the most that the request allows. Nothing in
-// a stream marks its last event, so that a shorter one is known to be complete only by the end
-// of the answer that it is in.
-func (c *call) atMaximum(events int) bool {
-	tokens := events
-	if c.members.layered() {
-		tokens *= max(c.members.service.Engine.TokensPerEvent, 1)
-	}
-	return c.MaxAnswerTokens > 0 && c.LastEventID == "" && tokens >= c.MaxAnswerTokens
-}
-
 // writeHead writes the head of a stream's answer.
 func (c *call) writeHead(f *Forwarder, s *session, reply driver.Reply) {
 	c.copyHeader(reply)
