Judge connections that end in a planned stop by when they were sent

The soak excused every connection that a stopping node closed from five sixths of its deadline on, whenever the request had been sent and whatever its endpoint did: requests that were passed on late and cut went unnoticed.

The auditor now has a record of stops, and excuses a connection only if its request was sent up to 3 s after the SIGTERM and an endpoint was at work on it in the last sixth of the 8 s of grace. Exchanges have the time at which they began to be sent, and arrivals the time at which the endpoint's work ended. SIGKILL comes 8 s after SIGTERM instead of 10; a process that it ends is a violation.

--- a/internal/soaker/auditor/auditor.go
+++ b/internal/soaker/auditor/auditor.go
@@ -76,6 +76,8 @@
 	// endpoints.
 	MaxLeaveDelay time.Duration
 	Arrivals      func(id string) []imitator.Arrival
+	// Grace is the time from a process's SIGTERM to its SIGKILL.
+	Grace time.Duration
 }
 
 // Auditor keeps the requests of a run. It is safe for concurrent use.
@@ -87,6 +89,7 @@
 	revocations  []revocation
 	exchanges    []Exchange
 	disturbances []*disturbance
+	stops        []*stop
 }
 
 // New returns an auditor without requests.
@@ -183,6 +186,11 @@
 			violations = append(violations, violation)
 		}
 	}
+	for _, s := range a.stops {
+		if s.killed && !a.disturbed(s.address, s.from, s.gone) {
+			violations = append(violations, fmt.Sprintf("%s outlasted the grace period of %v after its SIGTERM at %s", s.address, a.cfg.Grace, s.from.Format("15:04:05.000")))
+		}
+	}
 	return violations
 }
 
--- a/internal/soaker/auditor/exchange.go
+++ b/internal/soaker/auditor/exchange.go
@@ -84,8 +84,15 @@
 		}
 		endpoints = append(endpoints, arrival.Endpoint)
 	}
-	return fmt.Sprintf("%s %s written %s: lost: %s closed the connection after %v (kept %v, chunked %v, passed on to %q): %v",
-		e.Kind, e.ID, e.Written.Format("15:04:05.000"), e.Address, e.Ended.Sub(e.Written).Round(time.Millisecond), e.Reused, e.Chunked, strings.Join(endpoints, " "), e.Err)
+	stopped := ""
+	if s := a.stopOf(e); s != nil {
+		if s.excuses(e, arrivals, a.cfg.Grace) {
+			return ""
+		}
+		stopped = fmt.Sprintf(", sent %v and closed %v after its SIGTERM", e.Began.Sub(s.from).Round(time.Millisecond), e.Ended.Sub(s.from).Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s %s written %s: lost: %s closed the connection after %v (kept %v, chunked %v, passed on to %q%s): %v",
+		e.Kind, e.ID, e.Written.Format("15:04:05.000"), e.Address, e.Ended.Sub(e.Written).Round(time.Millisecond), e.Reused, e.Chunked, strings.Join(endpoints, " "), stopped, e.Err)
 }
 
 // disturbed reports whether a node or endpoint was disturbed at some time. a.mu must be
--- a/internal/soaker/causer.go
+++ b/internal/soaker/causer.go
@@ -160,13 +160,13 @@
 		n.Signal(syscall.SIGHUP)
 		return
 	case scheduler.Term:
+		gone := r.auditor.Stop(frontend)
 		n.Signal(syscall.SIGTERM)
-		if !n.Await(graceTime) {
-			defer r.auditor.Disturb(frontend)()
-		}
-		if !n.Await(stopTimeout - graceTime) {
-			n.Signal(syscall.SIGKILL)
+		ended := n.Await(grace)
+		if !ended {
+			n.Kill()
 		}
+		gone(!ended)
 	}
 	grouper.Sleep(ctx, f.Duration)
 	for _, each := range r.nodes {
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -52,12 +52,8 @@
 	// with a key, and its table of endpoints, which it reads with the rest, may be
 	// some seconds behind.
 	maxLeaveDelay = 8 * time.Second
-	// stopDeadline is the nodes' deadline for a planned stop, after which they may end
-	// requests: a request that is still at work after graceTime, five sixths of it, isn't
-	// expected to be answered. stopTimeout bounds the stop.
-	stopDeadline = 8 * time.Second
-	graceTime    = stopDeadline * 5 / 6
-	stopTimeout  = 10 * time.Second
+	// grace is the time from a node's SIGTERM to its SIGKILL, as on the platform.
+	grace = 8 * time.Second
 	// auditInterval is the time between two checks during the run.
 	auditInterval = 500 * time.Millisecond
 	// idPrefixLength is the length of the part of a random UUID that distinguishes the
@@ -156,7 +152,7 @@
 	})
 	r.site.Configure(imitator.Key, revocableKey)
 	r.auditor = auditor.New(auditor.Config{
-		MaxRevokeDelay: maxRevokeDelay + revokeTolerance, Runs: r.site.RunTimes, MaxLeaveDelay: maxLeaveDelay, Arrivals: r.site.Arrivals,
+		MaxRevokeDelay: maxRevokeDelay + revokeTolerance, Runs: r.site.RunTimes, MaxLeaveDelay: maxLeaveDelay, Arrivals: r.site.Arrivals, Grace: grace,
 	})
 	_, storePort, _ := net.SplitHostPort(r.site.Address())
 	for n := range cfg.Nodes {
@@ -207,7 +203,7 @@
 readiness = %q
 discovery = %q
 retry_slack = %g
-`, r.nodeAddress(n, 0), centres[n%len(centres)], r.storeProxies[n].Address(), stopDeadline.String(), r.nodeAddress(n, 1), r.nodeAddress(n, 2), r.nodeAddress(n, 3), r.cfg.RetrySlack)
+`, r.nodeAddress(n, 0), centres[n%len(centres)], r.storeProxies[n].Address(), grace.String(), r.nodeAddress(n, 1), r.nodeAddress(n, 2), r.nodeAddress(n, 3), r.cfg.RetrySlack)
 	return trace.ConvertSystemError(os.WriteFile(r.settingsPath(n), []byte(text), 0o600))
 }
 
