Send slow requests, and keep to a node that stops, in the soak

The endpoints of the soak answered so fast that hardly a request was in progress at the end of a stop, and callers asked for addresses before each attempt, so that few requests reached a node that was stopping.

A share of the requests (--slow) now keeps its endpoint at work for 1 to 9 s, and as many send their body within up to 4 s. A third of the callers keeps an answer with addresses for up to three times its TTL, and a third keeps to a node until its process is gone. The TTL is 2.5 s as on the platform instead of 1 s (--address-ttl). None of this is drawn from the seed: its faults stay the same.

--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -28,6 +28,8 @@
 	Engines int           `arg:"--engines" default:"4" help:"engines of each of three data centres"`
 	Callers int           `arg:"--callers" default:"12" help:"callers, each with one request at a time"`
 	Slack   float64       `arg:"--retry-slack" default:"100" help:"retries that all nodes together may send to a service in 10 s beside a fifth of its requests"`
+	Slow    float64       `arg:"--slow" default:"0.1" help:"share of requests whose endpoint works for 1 to 9 s, and share of those whose body is sent within up to 4 s"`
+	TTL     time.Duration `arg:"--address-ttl" default:"2500ms" help:"how long callers may keep an answer with addresses"`
 	Port    int           `arg:"--port" help:"first of some hundred ports; if 0, any that are free"`
 	Only    []string      `arg:"--only,separate" help:"kind of fault; repeatable, all if there is none"`
 }
@@ -62,7 +64,7 @@
 		}
 		report, err := soaker.Run(ctx, soaker.Config{
 			Daemon: a.Daemon, Dir: dir, Seed: seed, Time: a.Time, Nodes: a.Nodes, Engines: a.Engines,
-			Callers: a.Callers, RetrySlack: a.Slack, Port: a.Port, Only: only,
+			Callers: a.Callers, RetrySlack: a.Slack, SlowShare: a.Slow, AddressTTL: a.TTL, Port: a.Port, Only: only,
 		})
 		if err != nil {
 			return trace.Wrap(err, "seed %d", seed)
--- a/internal/soaker/auditor/auditor.go
+++ b/internal/soaker/auditor/auditor.go
@@ -89,6 +89,7 @@
 	revocations  []revocation
 	exchanges    []Exchange
 	disturbances []*disturbance
+	silences     []*disturbance
 	stops        []*stop
 }
 
--- a/internal/soaker/auditor/exchange.go
+++ b/internal/soaker/auditor/exchange.go
@@ -28,7 +28,7 @@
 }
 
 // disturbance is a period in which a node or an endpoint may end connections without an
-// answer.
+// answer, or an endpoint is silent.
 type disturbance struct {
 	address string
 	from    time.Time
@@ -45,10 +45,19 @@
 // that it may end connections without an answer, until the function that it returns
 // is called.
 func (a *Auditor) Disturb(address string) (end func()) {
+	return a.begin(&a.disturbances, address)
+}
+
+// Silence records that the endpoint at an address is silent from now on, until the function
+// that it returns is called.
+func (a *Auditor) Silence(address string) (end func()) { return a.begin(&a.silences, address) }
+
+// begin adds a period that ends when the function that it returns is called.
+func (a *Auditor) begin(periods *[]*disturbance, address string) (end func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d := &disturbance{address: address, from: time.Now()}
-	a.disturbances = append(a.disturbances, d)
+	*periods = append(*periods, d)
 	return func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -86,7 +95,7 @@
 	}
 	stopped := ""
 	if s := a.stopOf(e); s != nil {
-		if s.excuses(e, arrivals, a.cfg.Grace) {
+		if a.excuses(s, e, arrivals) {
 			return ""
 		}
 		stopped = fmt.Sprintf(", sent %v and closed %v after its SIGTERM", e.Began.Sub(s.from).Round(time.Millisecond), e.Ended.Sub(s.from).Round(time.Millisecond))
--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -28,6 +28,15 @@
 	// the bodies that are sent in chunks.
 	maxBodyBytes = 4 << 10
 	chunkedShare = 0.5
+	// Slow requests have endpoints that work on them for minWork to maxWork, bodies of
+	// slowBodyBytes that are sent within maxSendTime, or both. That is together less
+	// than callers wait for them, which is streamTimeout.
+	minWork       = time.Second
+	maxWork       = 9 * time.Second
+	maxSendTime   = 4 * time.Second
+	slowBodyBytes = 32 << 10
+	// timePerEvent is about the time from one event of a stream to the next.
+	timePerEvent = 27 * time.Millisecond
 	// revocableShare is the share of requests that use revocableKey.
 	revocableShare = 0.2
 	// idleTimeout is how long a caller keeps an idle connection: four fifths of the
@@ -41,6 +50,7 @@
 	transport := &http.Transport{IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 2}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport}
+	var kept choice
 	for i := 0; ctx.Err() == nil; i++ {
 		c := imitator.Caller{
 			Discovery: r.nodeAddress(r.runningNode(n), 3), Centre: centres[n%len(centres)], Key: imitator.Key, Client: client,
@@ -49,7 +59,15 @@
 			c.Key = revocableKey
 		}
 		c.Body, c.Chunked = strings.Repeat("x", rand.IntN(maxBodyBytes)), rand.Float64() < chunkedShare
-		r.sendRequest(c, fmt.Sprintf("%s-c%d-%d", r.idPrefix, n, i), auditor.Kind(rand.IntN(int(auditor.NonIdempotent)+1)))
+		var work time.Duration
+		if rand.Float64() < r.cfg.SlowShare {
+			work = minWork + rand.N(maxWork-minWork)
+		}
+		if rand.Float64() < r.cfg.SlowShare {
+			c.Body, c.SendTime = strings.Repeat("x", slowBodyBytes), rand.N(maxSendTime)
+		}
+		c.Choose = func(ctx context.Context) (string, error) { return r.choose(ctx, c, &kept, policy(n%policies)) }
+		r.sendRequest(c, fmt.Sprintf("%s-c%d-%d", r.idPrefix, n, i), auditor.Kind(rand.IntN(int(auditor.NonIdempotent)+1)), work)
 		grouper.Sleep(ctx, rand.N(maxCallPause))
 	}
 }
@@ -65,9 +83,10 @@
 	return n % len(r.nodes)
 }
 
-// sendRequest sends one request and records its outcome. Requests go on after the
+// sendRequest sends one request, on which an endpoint works for some time, and records its
+// outcome. Requests go on after the
 // callers have stopped, so that each has an outcome.
-func (r *run) sendRequest(c imitator.Caller, id string, kind auditor.Kind) {
+func (r *run) sendRequest(c imitator.Caller, id string, kind auditor.Kind, work time.Duration) {
 	c.OnEnd = func(e imitator.Exchange) { r.auditor.RecordExchange(auditor.Exchange{Kind: kind, Exchange: e}) }
 	result := auditor.Request{ID: id, Kind: kind, Key: c.Key, Sent: time.Now()}
 	if kind == auditor.Stream {
@@ -77,7 +96,7 @@
 		// counts.
 		c.OnSend = func(string) { result.Sent = time.Now() }
 		c.OnFirstEvent = func(string) { result.FirstEvent = time.Now() }
-		_, err := c.Stream(ctx, id, eventsPerStream)
+		_, err := c.Stream(ctx, id, max(eventsPerStream, int(work/timePerEvent)))
 		result.Status = http.StatusOK
 		if err != nil {
 			result.Status, result.Err, result.Corrupt = 0, err.Error(), errors.Is(err, imitator.ErrCorruptStream)
@@ -89,9 +108,16 @@
 	if kind == auditor.NonIdempotent {
 		method, path, body = http.MethodPost, "/book/1", c.Body
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	timeout := callTimeout
+	if work > 0 || c.SendTime > 0 {
+		timeout = streamTimeout
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	result.Want = fmt.Sprintf("%s %s by org: %s", method, path, body)
+	if work > 0 {
+		path += fmt.Sprintf("?%s=%v", imitator.WorkParameter, work)
+	}
 	status, answer, err := c.Call(ctx, method, path, id)
 	if err != nil {
 		result.Err = err.Error()
--- a/internal/soaker/causer.go
+++ b/internal/soaker/causer.go
@@ -115,6 +115,7 @@
 		silent = append(silent, r.endpointProxies[(f.Target+i)%len(r.endpointProxies)])
 	}
 	for _, p := range silent {
+		defer r.auditor.Silence(p.Address())()
 		p.Hold()
 	}
 	grouper.Sleep(ctx, f.Duration)
--- a/internal/soaker/soaker.go
+++ b/internal/soaker/soaker.go
@@ -54,6 +54,9 @@
 	maxLeaveDelay = 8 * time.Second
 	// grace is the time from a node's SIGTERM to its SIGKILL, as on the platform.
 	grace = 8 * time.Second
+	// plainSlots is the number of slots of a plain endpoint, so that slow requests leave
+	// some for others.
+	plainSlots = 32
 	// auditInterval is the time between two checks during the run.
 	auditInterval = 500 * time.Millisecond
 	// idPrefixLength is the length of the part of a random UUID that distinguishes the
@@ -81,6 +84,11 @@
 	// RetrySlack is the slack of the nodes' retry budget. A smaller one gives each of a
 	// few nodes the part that it would have of many.
 	RetrySlack float64
+	// SlowShare is the share of requests whose endpoint works for long, and that of
+	// requests whose body is sent slowly.
+	SlowShare float64
+	// AddressTTL is the TTL of answers with addresses.
+	AddressTTL time.Duration
 	// Port is the first of the consecutive ports that the run uses, which must be free
 	// on loopback; 0 means any.
 	Port int
@@ -109,6 +117,7 @@
 	storeProxies    []*proxier.Proxy
 	endpointProxies []*proxier.Proxy
 	nodes           []*spawner.Process
+	frontends       []string
 	auditor         *auditor.Auditor
 	// mu guards storeFaults, which counts the active faults, by kind, that make the
 	// store unavailable or lose its answers.
@@ -148,7 +157,7 @@
 func newRun(cfg Config) *run {
 	r := &run{cfg: cfg, idPrefix: uuid.NewString()[:idPrefixLength], storeFaults: make(map[scheduler.Kind]int)}
 	r.site = imitator.New(imitator.Config{
-		IP: siteIP, Port: cfg.Port + sitePortOffset, Centres: centres, Engines: cfg.Engines, AdvertisedAddress: r.addEndpointProxy,
+		IP: siteIP, Port: cfg.Port + sitePortOffset, Centres: centres, Engines: cfg.Engines, Slots: plainSlots, AdvertisedAddress: r.addEndpointProxy,
 	})
 	r.site.Configure(imitator.Key, revocableKey)
 	r.auditor = auditor.New(auditor.Config{
@@ -161,6 +170,7 @@
 			Name: fmt.Sprintf("node %d", n), Program: cfg.Daemon, Args: []string{r.settingsPath(n)},
 			Log: filepath.Join(cfg.Dir, fmt.Sprintf("node%d.log", n)),
 		}))
+		r.frontends = append(r.frontends, r.nodeAddress(n, 1))
 	}
 	return r
 }
@@ -194,7 +204,7 @@
 rate = 2000
 
 [stop]
-address_ttl = "1s"
+address_ttl = %q
 deadline = %q
 
 [relay]
@@ -203,7 +213,7 @@
 readiness = %q
 discovery = %q
 retry_slack = %g
-`, r.nodeAddress(n, 0), centres[n%len(centres)], r.storeProxies[n].Address(), grace.String(), r.nodeAddress(n, 1), r.nodeAddress(n, 2), r.nodeAddress(n, 3), r.cfg.RetrySlack)
+`, r.nodeAddress(n, 0), centres[n%len(centres)], r.storeProxies[n].Address(), r.cfg.AddressTTL.String(), grace.String(), r.nodeAddress(n, 1), r.nodeAddress(n, 2), r.nodeAddress(n, 3), r.cfg.RetrySlack)
 	return trace.ConvertSystemError(os.WriteFile(r.settingsPath(n), []byte(text), 0o600))
 }
 
