Judge slow requests by their last byte in a planned stop

The auditor excused a request that was cut at the end of a stop if its first byte had been sent up to 3 s after the SIGTERM. Whether a request with a slow body counts as sent at its first or at its last byte is open, so that requests that one reading counts as lost were excused.

The last byte counts now. The time of the first byte has no other use: exchanges don't keep it, and a stop is the one of the process that ended an exchange if that process hadn't ended when the request was written.

In TestEndInAPlannedStop the body that is sent until 4 s after the SIGTERM is a loss now, and there are bodies that are sent until 2.9 s and, from before the SIGTERM, until 3.1 s. With the time of arrival at the endpoint in place of the last byte the two late ones fail.

--- a/internal/soaker/auditor/exchange.go
+++ b/internal/soaker/auditor/exchange.go
@@ -98,7 +98,7 @@
 		if a.excuses(s, e, arrivals) {
 			return ""
 		}
-		stopped = fmt.Sprintf(", sent %v and closed %v after its SIGTERM", e.Began.Sub(s.from).Round(time.Millisecond), e.Ended.Sub(s.from).Round(time.Millisecond))
+		stopped = fmt.Sprintf(", written %v and closed %v after its SIGTERM", e.Written.Sub(s.from).Round(time.Millisecond), e.Ended.Sub(s.from).Round(time.Millisecond))
 	}
 	return fmt.Sprintf("%s %s written %s: lost: %s closed the connection after %v (kept %v, chunked %v, passed on to %q%s): %v",
 		e.Kind, e.ID, e.Written.Format("15:04:05.000"), e.Address, e.Ended.Sub(e.Written).Round(time.Millisecond), e.Reused, e.Chunked, strings.Join(endpoints, " "), stopped, e.Err)
--- a/internal/soaker/auditor/stop.go
+++ b/internal/soaker/auditor/stop.go
@@ -7,8 +7,9 @@
 	"banyanquay/platform/imitator"
 )
 
-// maxExcusedSend is how long after the SIGTERM a request may be sent whose connection ends
-// without an answer since its endpoint is still at work near the end of the grace period.
+// maxExcusedSend is how long after the SIGTERM the last byte of a request may be sent whose
+// connection ends without an answer since its endpoint is still at work near the end of
+// the grace period.
 const maxExcusedSend = 3 * time.Second
 
 // stop is a planned stop of a node's process.
@@ -44,7 +45,7 @@
 // stopping. a.mu must be held.
 func (a *Auditor) stopOf(e Exchange) *stop {
 	n := slices.IndexFunc(a.stops, func(s *stop) bool {
-		return s.address == e.Address && !s.from.After(e.Ended) && (s.gone.IsZero() || !s.gone.Before(e.Began))
+		return s.address == e.Address && !s.from.After(e.Ended) && (s.gone.IsZero() || !s.gone.Before(e.Written))
 	})
 	if n < 0 {
 		return nil
@@ -52,12 +53,12 @@
 	return a.stops[n]
 }
 
-// excuses reports whether an exchange may end without an answer in a stop: it was sent early
-// enough, and an endpoint was at work on it until the last sixth of the grace period.
+// excuses reports whether an exchange may end without an answer in a stop: its last byte
+// was sent early enough, and an endpoint was at work on it until the last sixth of the grace period.
 // a.mu must be held.
 func (a *Auditor) excuses(s *stop, e Exchange, arrivals []imitator.Arrival) bool {
 	lastSixth := s.from.Add(a.cfg.Grace * 5 / 6)
-	return !e.Began.After(s.from.Add(maxExcusedSend)) && !e.Ended.Before(lastSixth) && slices.ContainsFunc(arrivals, func(arrival imitator.Arrival) bool {
+	return !e.Written.After(s.from.Add(maxExcusedSend)) && !e.Ended.Before(lastSixth) && slices.ContainsFunc(arrivals, func(arrival imitator.Arrival) bool {
 		ended := a.workEnded(arrival)
 		return ended.IsZero() || !ended.Before(lastSixth)
 	})
--- a/internal/soaker/auditor/stop_test.go
+++ b/internal/soaker/auditor/stop_test.go
@@ -10,7 +10,7 @@
 )
 
 // Guards against excuses for what a stopping node read and closed without an answer,
-// beyond requests sent early at which an endpoint works until the last sixth of the grace.
+// beyond requests whose last byte was sent early and at which an endpoint works until the last sixth of the grace.
 func TestEndInAPlannedStop(t *testing.T) {
 	const (
 		grace   = 8 * time.Second
@@ -23,20 +23,22 @@
 	const notPassedOn, lasts, silent = -1, -2, -3
 	cases := []struct {
 		name string
-		// address is the node of the request. began and written are when the request began to
-		// be sent and was written, ended when its connection was closed, and worked when
-		// the endpoint's work on it ended.
-		address                       string
-		began, written, ended, worked int
-		err                           error
-		gone                          int
-		lost                          bool
+		// address is the node of the request. arrived is when its head reached the endpoint,
+		// which can be before its last byte was written, ended when its connection was
+		// closed, and worked when the endpoint's work on it ended.
+		address                         string
+		arrived, written, ended, worked int
+		err                             error
+		gone                            int
+		lost                            bool
 	}{
 		{"sent early, at work to the end", node, 2900, 2900, 7400, lasts, io.EOF, 7400, false},
 		{"sent early, at work until the close", node, 2900, 2900, 7400, 7400, io.EOF, 7400, false},
 		{"sent early, in mid-stream at the end", node, -500, -500, 7400, 7400, io.ErrUnexpectedEOF, 7400, false},
 		{"sent at 3 s", node, 3000, 3000, 7400, lasts, io.EOF, 7400, false},
-		{"body sent until after 3 s", node, 2900, 4000, 7400, lasts, io.EOF, 7400, false},
+		{"body sent until 2.9 s", node, 500, 2900, 7400, lasts, io.EOF, 7400, false},
+		{"body sent until after 3 s", node, 2900, 4000, 7400, lasts, io.EOF, 7400, true},
+		{"body sent from before the SIGTERM until after 3 s", node, -500, 3100, 7400, lasts, io.EOF, 7400, true},
 		{"sent late, at work to the end", node, 3100, 3100, 7400, lasts, io.EOF, 7400, true},
 		{"sent late, in mid-stream at the end", node, 3100, 3100, 7400, 7400, io.ErrUnexpectedEOF, 7400, true},
 		{"sent at the end, closed at once", node, 7300, 7300, 7310, 7310, io.EOF, 7400, true},
@@ -57,7 +59,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			a := New(Config{Grace: grace, Arrivals: func(string) []imitator.Arrival {
-				arrival := imitator.Arrival{Endpoint: "e", At: at(c.written), Addresses: []string{"e"}}
+				arrival := imitator.Arrival{Endpoint: "e", At: at(c.arrived), Addresses: []string{"e"}}
 				switch c.worked {
 				case notPassedOn:
 					return nil
@@ -80,7 +82,7 @@
 				a.silences = []*disturbance{{"other endpoint", at(0), at(7500)}, {"e", at(6700), at(7500)}}
 			}
 			a.RecordExchange(Exchange{Kind: NonIdempotent, Exchange: imitator.Exchange{
-				ID: "1", Address: c.address, Began: at(c.began), Written: at(c.written), Ended: at(c.ended), Err: c.err,
+				ID: "1", Address: c.address, Written: at(c.written), Ended: at(c.ended), Err: c.err,
 			}})
 			if got := strings.Join(a.Violations(), "; "); (got != "") != c.lost {
 				t.Errorf("got %q, want a violation: %v", got, c.lost)
