--- a/internal/soaker/auditor/exchange.go
+++ b/internal/soaker/auditor/exchange.go
@@ -28,7 +28,7 @@
 }
 
 // disturbance is a period in which a node or an endpoint may end connections without an
-// answer.
+// answer, or an endpoint is silent.
 type disturbance struct {
 	address string
 	from    time.Time
@@ -45,10 +45,19 @@
 // that it may end connections without an answer, until the function that it returns
 // is called.
 func (a *Auditor) Disturb(address string) (end func()) {
+	return a.begin(&a.disturbances, address)
+}
+
+// Silence records that the endpoint at an address is silent from now on, until the function
+// that it returns is called.
+func (a *Auditor) Silence(address string) (end func()) { return a.begin(&a.silences, address) }
+
+// begin adds a period that ends when the function that it returns is called.
+func (a *Auditor) begin(periods *[]*disturbance, address string) (end func()) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	d := &disturbance{address: address, from: time.Now()}
-	a.disturbances = append(a.disturbances, d)
+	*periods = append(*periods, d)
 	return func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
@@ -84,8 +93,15 @@
 		}
 		endpoints = append(endpoints, arrival.Endpoint)
 	}
-	return fmt.Sprintf("%s %s written %s: lost: %s closed the connection after %v (kept %v, chunked %v, passed on to %q): %v",
-		e.Kind, e.ID, e.Written.Format("15:04:05.000"), e.Address, e.Ended.Sub(e.Written).Round(time.Millisecond), e.Reused, e.Chunked, strings.Join(endpoints, " "), e.Err)
+	stopped := ""
+	if s := a.stopOf(e); s != nil {
+		if a.excuses(s, e, arrivals) {
+			return ""
+		}
+		stopped = fmt.Sprintf(", written %v and closed %v after its SIGTERM", e.Written.Sub(s.from).Round(time.Millisecond), e.Ended.Sub(s.from).Round(time.Millisecond))
+	}
+	return fmt.Sprintf("%s %s written %s: lost: %s closed the connection after %v (kept %v, chunked %v, passed on to %q%s): %v",
+		e.Kind, e.ID, e.Written.Format("15:04:05.000"), e.Address, e.Ended.Sub(e.Written).Round(time.Millisecond), e.Reused, e.Chunked, strings.Join(endpoints, " "), stopped, e.Err)
 }
 
 // disturbed reports whether a node or endpoint was disturbed at some time. a.mu must be
--- a/internal/soaker/causer.go
+++ b/internal/soaker/causer.go
@@ -115,6 +115,7 @@
 		silent = append(silent, r.endpointProxies[(f.Target+i)%len(r.endpointProxies)])
 	}
 	for _, p := range silent {
+		defer r.auditor.Silence(p.Address())()
 		p.Hold()
 	}
 	grouper.Sleep(ctx, f.Duration)
@@ -160,13 +161,13 @@
 		n.Signal(syscall.SIGHUP)
 		return
 	case scheduler.Term:
+		gone := r.auditor.Stop(frontend)
 		n.Signal(syscall.SIGTERM)
-		if !n.Await(graceTime) {
-			defer r.auditor.Disturb(frontend)()
-		}
-		if !n.Await(stopTimeout - graceTime) {
-			n.Signal(syscall.SIGKILL)
+		ended := n.Await(grace)
+		if !ended {
+			n.Kill()
 		}
+		gone(!ended)
 	}
 	grouper.Sleep(ctx, f.Duration)
 	for _, each := range r.nodes {
