Reject a head that has the start of another answer

In the product's own mode a step, an order, an import or a call counted as answered with 200; at the store an append counted as accepted, and a listing had no records. Cause: an endpoint that fails within its answer's head may write a second answer. If the first was cut off within its reason phrase or a header's value, the rest of that line and the second status line read as one reason or value, and the second answer's headers and body count as the first one's. With a refusal as the second, the mark "not run" came with the 200. Change: a head whose reason or one of whose values has the start of a status line (HTTP/, a version, three digits) is an error after the request was sent, at all clients of endpoints and the store. Within events this was so before. A header that quotes a whole status line is refused with it.

--- a/internal/driver/cut_test.go
+++ b/internal/driver/cut_test.go
@@ -69,3 +69,23 @@
 		}
 	}
 }
+
+// Guards against a second answer, after one that is cut off within its head, whose headers or
+// body are taken for those of the first.
+func TestSecondAnswerWithinAHead(t *testing.T) {
+	const second = "HTTP/1.1 409 Conflict\r\nContent-Length: 22\r\n\r\n{\"reason\":\"old_fence\"}"
+	const head = "HTTP/1.1 200 OK\r\nX-Endpoint: a\r\nContent-Type: application/json\r\nX-Long: a\r\n b\r\n\r\n"
+	for way, call := range cutCalls(t) {
+		t.Run(way, func(t *testing.T) {
+			t.Parallel()
+			for n := 1; n < len(head)-1; n++ {
+				p := newPeer(t, &peer{status: answerOK, answer: always(head[:n] + second + hangUp)})
+				err := call(p.address)
+				var refused *Refused
+				if err == nil || isUnsent(err) || errors.As(err, &refused) {
+					t.Errorf("second answer after %q: got %v, want an error that doesn't say that the call did not run", head[:n], err)
+				}
+			}
+		})
+	}
+}
--- a/internal/driver/once.go
+++ b/internal/driver/once.go
@@ -186,6 +186,10 @@
 		if err != nil {
 			return nil, err
 		}
+		if err := checkHead(resp); err != nil {
+			resp.Body.Close()
+			return nil, err
+		}
 		if resp.StatusCode >= http.StatusOK || resp.StatusCode == http.StatusSwitchingProtocols {
 			return resp, nil
 		}
--- a/internal/driver/pool.go
+++ b/internal/driver/pool.go
@@ -64,7 +64,7 @@
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout:        idleTimeout,
 	}
-	return &http.Client{Transport: transport, CheckRedirect: refuseRedirect}, transport
+	return &http.Client{Transport: Transport{transport}, CheckRedirect: refuseRedirect}, transport
 }
 
 // refuseRedirect makes the client return a redirect as the response.
