Take no stream for complete that only its connection ends before the first event

Cause: an answer without a length or chunks ends with its connection, and so does that of an endpoint whose process stops. A first answer without an event counted as a complete stream; only one that continues another was checked. Change: driver.Reply says whether anything but its connection marks the end of a body. A first answer without such a mark that ends before its first event is an attempt that broke off: another endpoint is asked if the stream may be resumed, else the caller gets 502. That holds for a stream that its caller resumes, too. An empty answer with a length or a last chunk is passed on as before. Plain answers without a length are, too, as the protocol has them end with their connection. Nodes of earlier builds don't send the new field by way of a detour: their answers are handled as before. Not covered: a stream without a length that is closed behind an event; nothing tells that from its end.

--- a/internal/driver/relay.go
+++ b/internal/driver/relay.go
@@ -74,6 +74,9 @@
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 	// Echoed is set if the response repeats the request's ID, as all of an endpoint do.
 	Echoed bool `cbor:"11,keyasint,omitempty"`
+	// Unframed is set if only the end of its connection marks that of the body. An endpoint
+	// that stops closes its connections, too.
+	Unframed bool `cbor:"12,keyasint,omitempty"`
 	// Via is the address of the node by way of which the endpoint was called; empty if it
 	// was called directly.
 	Via string `cbor:"-"`
--- a/internal/supervisor/forwarder/continuation.go
+++ b/internal/supervisor/forwarder/continuation.go
@@ -48,10 +48,20 @@
 	}
 }
 
-// lacksEvents reports whether an answer that continues the stream and has ended without an event
-// must be taken for one that lacks the rest of it.
-func (c *call) lacksEvents(state snapshot) bool {
-	return c.answered && state.attemptEvents == 0 && !c.ended && !c.atMaximum(state.events)
+// checkEnd checks that an answer that has ended may be the end of the stream. One without an
+// event lacks the stream's events if it continues another answer that has more, or if it may
+// have ended since its endpoint stopped.
+func (c *call) checkEnd(reply driver.Reply, state snapshot) error {
+	switch {
+	case state.attemptEvents > 0:
+		return nil
+	case !c.answered && reply.Unframed:
+		return errNoEvent
+	case c.answered && !c.ended && !c.atMaximum(state.events):
+		return errNotContinued
+	default:
+		return nil
+	}
 }
 
 // atMaximum reports whether a number of events is the most that the request allows. Nothing in
--- a/internal/supervisor/forwarder/events.go
+++ b/internal/supervisor/forwarder/events.go
@@ -34,6 +34,7 @@
 	errHeadInEvent   = trace.BadParameter("the head of another answer is within an event")
 	errNotInOrder    = trace.BadParameter("an event has no ID, or none that follows the last one")
 	errSkipped       = trace.BadParameter("events are missing before the first one of the answer that continues the stream")
+	errNoEvent       = trace.BadParameter("the connection ended before the first event, and nothing else marks the end of the stream")
 	errNotContinued  = trace.BadParameter("the answer has no event, and the stream that it continues lacks some")
 )
 
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -330,8 +330,8 @@
 	for {
 		e, err := nextEvent(r, buf)
 		if errors.Is(err, io.EOF) {
-			if c.lacksEvents(s.snapshot()) {
-				return errNotContinued
+			if err := c.checkEnd(reply, s.snapshot()); err != nil {
+				return err
 			}
 			if !c.answered {
 				c.writeHead(f, s, reply)
