Take no interim status for the answer of a plain service

Callers saw: in the product's own mode, a service's 101 as the answer to a call that had asked for no other protocol, recorded under its key where it has one. Cause: readers of HTTP return 101 alone of all interim answers, and any status counted as final. Change: an answer with a status below 200 is an error after the call was sent: its outcome is unknown, or another endpoint is asked if the call may be repeated. Evidence: TestInterimStatusIsNoAnswer fails for both kinds of calls ("do", "once") without the change and passes with it; the engines' calls pass before and after.

--- a/internal/driver/cut_test.go
+++ b/internal/driver/cut_test.go
@@ -89,3 +89,16 @@
 		})
 	}
 }
+
+// Guards against a service's 101 that is taken for the answer to a call, and recorded as such.
+func TestInterimStatusIsNoAnswer(t *testing.T) {
+	const text = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n{}" + hangUp
+	for way, call := range cutCalls(t) {
+		t.Run(way, func(t *testing.T) {
+			p := newPeer(t, &peer{status: answerOK, answer: always(text)})
+			if err := call(p.address); err == nil || isUnsent(err) {
+				t.Errorf("got %v, want an error that doesn't say that the call did not run", err)
+			}
+		})
+	}
+}
--- a/internal/driver/service.go
+++ b/internal/driver/service.go
@@ -119,6 +119,9 @@
 // newAnswer reads the whole response and closes its body.
 func newAnswer(resp *http.Response, address string) (Answer, error) {
 	defer resp.Body.Close()
+	if resp.StatusCode < http.StatusOK {
+		return Answer{}, trace.BadParameter("%s sent the interim status %d as its answer", address, resp.StatusCode)
+	}
 	body, err := bounder.ReadAll(resp.Body, maxBodyBytes)
 	if err != nil {
 		return Answer{}, trace.ConnectionProblem(err, "reading the answer from %s", address)
