--- a/internal/supervisor/listener/gate.go
+++ b/internal/supervisor/listener/gate.go
@@ -5,12 +5,19 @@
 	"sync"
 	"time"
 
+	"github.com/gravitational/trace"
+
 	"banyanquay/internal/refuser"
 )
 
-// Gate counts the work in progress and stops admitting new work in two phases.
+// ErrExpired is the cause with which the contexts of requests end that are in progress
+// when the time of a planned stop is up.
+var ErrExpired = trace.LimitExceeded("the deadline of the stop has passed")
+
+// Gate counts the work in progress and stops admitting new work in three phases.
 // While the node is leaving, callers with a cached address are still served;
-// once the gate is closed, all new work is refused.
+// once the gate is closed, all new work is refused; once it has expired, the work in
+// progress ends.
 type Gate struct {
 	mu sync.Mutex
 	// running is the number of requests in progress.
@@ -24,11 +31,16 @@
 	// idle is closed when the gate is closed and no request or refusal is in
 	// progress.
 	idle chan struct{}
+	// expiry ends, by expire, when the gate expires.
+	expiry context.Context
+	expire context.CancelFunc
 }
 
 // NewGate returns an open gate.
 func NewGate() *Gate {
-	return &Gate{idle: make(chan struct{})}
+	g := &Gate{idle: make(chan struct{})}
+	g.expiry, g.expire = context.WithCancel(context.Background())
+	return g
 }
 
 // Acquire admits a request, or refuses it once the gate is closed. In both
@@ -88,6 +100,32 @@
 	return g.leaving
 }
 
+// Closed reports whether new work is refused. A request that was admitted earlier and has
+// been passed on to no endpoint is to be refused, too: little of the stop's time may be left.
+func (g *Gate) Closed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.closed
+}
+
+// Expire closes the gate and ends the contexts of the work in progress, which is to be
+// answered at once.
+func (g *Gate) Expire() {
+	g.Close()
+	g.expire()
+}
+
+// Context returns a context that also ends when the gate expires, with the cause
+// ErrExpired. The function that it returns releases its resources.
+func (g *Gate) Context(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.expiry, func() { cancel(ErrExpired) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // Close refuses new work from now on.
 func (g *Gate) Close() {
 	g.mu.Lock()
