Send no request after the gate has closed

Callers saw, in a report of another operator: in a planned stop of one node, requests that came late in the grace period were taken and passed on, and cut off with no answer at its end, also those that may not be repeated.

Cause: a request was admitted by the gate when its head had been read, and never checked again. One whose body was still being sent when the gate closed, or that waited for room, a permit, pacing, a path or the node's first read of the store, was sent at any later time of the stop.

The waits of a request that was not sent end when the gate closes, by a context of the gate. Requests that were sent go on, at further endpoints too (TestSentRequestsGoOnWhenTheGateCloses).

--- a/internal/supervisor/forwarder/admission.go
+++ b/internal/supervisor/forwarder/admission.go
@@ -14,7 +14,6 @@
 	"go.uber.org/zap"
 
 	"banyanquay/internal/driver"
-	"banyanquay/internal/grouper"
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/supervisor/forwarder/forecaster"
@@ -156,8 +155,9 @@
 			req.MayWait = false
 		}
 		req.Again = true
-		if req.MayWait && !grouper.Sleep(c.r.Context(), prioritizer.WaitInterval) {
-			return nil, c.callerLeft(), false
+		if req.MayWait && !c.sleep(prioritizer.WaitInterval) {
+			r, _ := f.interruption(c)
+			return nil, r, false
 		}
 		if _, room, limited = f.admissionRoom(c); !limited {
 			return func() {}, r, true
--- a/internal/supervisor/forwarder/answer.go
+++ b/internal/supervisor/forwarder/answer.go
@@ -31,6 +31,9 @@
 		f.cfg.Recorder.Error(recorder.RefusalNotEncoded, zap.Error(err))
 	}
 	header := c.w.Header()
+	if f.cfg.Gate.Leaving() {
+		header.Set("Connection", "close")
+	}
 	header.Set("Content-Type", refuser.ContentType)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if r.Wait > 0 {
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -180,9 +180,12 @@
 // call is one caller's request in progress.
 type call struct {
 	Request
-	w     http.ResponseWriter
-	r     *http.Request
-	route mapper.Route
+	w http.ResponseWriter
+	r *http.Request
+	// unsent is the context of the request's waits until it is sent. It ends when the gate
+	// closes.
+	unsent context.Context
+	route  mapper.Route
 	// service is the name of the service that the route's traffic split selected.
 	service      string
 	organisation mapper.Organisation
@@ -257,21 +260,23 @@
 // ServeHTTP serves a caller's request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.cfg.Now()
-	c := &call{w: w, r: r, Request: Request{Arrived: arrived}, tried: make(map[string]bool)}
+	unsent, release := f.cfg.Gate.UntilClosed(r.Context())
+	defer release()
+	c := &call{w: w, r: r, unsent: unsent, Request: Request{Arrived: arrived}, tried: make(map[string]bool)}
 	defer f.answerPanic(c)
 	f.serve(c)
 }
 
 // serve serves a caller's request.
 func (f *Forwarder) serve(c *call) {
-	w, r := c.w, c.r
+	w := c.w
 	leave, err := f.cfg.Gate.Acquire()
 	defer leave()
 	if f.cfg.Gate.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	if err == nil {
-		f.awaitReady(r.Context())
+		f.awaitReady(c.unsent)
 		err = f.admit(c)
 	}
 	if err != nil {
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -76,6 +76,10 @@
 			grouper.Sleep(c.r.Context(), refusedRetryDelay)
 		}
 		path, err := f.paidPath(c, s)
+		if r, ended := f.interruption(c); ended {
+			f.refuse(c, r)
+			return
+		}
 		if err != nil {
 			f.failGeneration(c, s, f.generationRefusal(c, err, lastErr))
 			return
@@ -86,8 +90,8 @@
 			return
 		}
 		lastErr = err
-		if c.r.Context().Err() != nil {
-			f.refuse(c, c.callerLeft())
+		if r, ended := f.interruption(c); ended {
+			f.refuse(c, r)
 			return
 		}
 		if !f.mayRetryGeneration(c, s, err) {
--- a/internal/supervisor/forwarder/limit.go
+++ b/internal/supervisor/forwarder/limit.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"banyanquay/internal/driver"
-	"banyanquay/internal/grouper"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/registrar"
 	"banyanquay/internal/supervisor/forwarder/pathfinder"
@@ -117,14 +116,14 @@
 	for {
 		id, ok := choose()
 		if ok {
-			if f.cfg.Throttler.Acquire(c.r.Context(), id) {
+			if f.cfg.Throttler.Acquire(c.waitContext(), id) {
 				return
 			}
 			c.limited[id] = true
 			continue
 		}
 		wait, limited := f.limitWait(c)
-		if !limited || f.cfg.Now().Add(wait).After(deadline) || !grouper.Sleep(c.r.Context(), wait) {
+		if !limited || f.cfg.Now().Add(wait).After(deadline) || !c.sleep(wait) {
 			return
 		}
 		clear(c.limited)
--- a/internal/supervisor/forwarder/pace.go
+++ b/internal/supervisor/forwarder/pace.go
@@ -5,7 +5,6 @@
 
 	"go.uber.org/zap"
 
-	"banyanquay/internal/grouper"
 	"banyanquay/internal/supervisor/forwarder/assessor"
 	"banyanquay/internal/supervisor/forwarder/pacer"
 	"banyanquay/internal/supervisor/forwarder/pathfinder"
@@ -50,10 +49,10 @@
 		if ok {
 			return path, nil
 		}
-		left := !grouper.Sleep(c.r.Context(), wait)
+		ended := !c.sleep(wait)
 		c.held = f.cfg.Now().Sub(began)
-		if left {
-			return nil, c.callerLeft()
+		if r, ok := f.interruption(c); ended && ok {
+			return nil, r
 		}
 		path = f.newerPath(c, version, path)
 	}
@@ -63,7 +62,7 @@
 // there is none or its first engine takes no request.
 func (f *Forwarder) newerPath(c *call, version string, previous []pathfinder.Stage) []pathfinder.Stage {
 	path, err := f.path(c, version)
-	if err != nil || (path[0].ID != previous[0].ID && !f.cfg.Throttler.Acquire(c.r.Context(), path[0].ID)) {
+	if err != nil || (path[0].ID != previous[0].ID && !f.cfg.Throttler.Acquire(c.waitContext(), path[0].ID)) {
 		return previous
 	}
 	return path
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -90,13 +90,10 @@
 			}
 			break
 		}
-		e, ok := f.permittedEndpoint(c)
+		e, ok := f.nextEndpoint(c)
 		if !ok {
 			break
 		}
-		if c.arrived && !f.takePlainRetry(c) {
-			break
-		}
 		lastEndpoint = e
 		last = f.tryEndpoint(c, e)
 		if last.deliverable() {
@@ -112,6 +109,17 @@
 	f.finish(c, last, lastEndpoint)
 }
 
+// nextEndpoint returns the endpoint of a plain service to which the request is sent next, and
+// whether it is: there is an endpoint, the request goes on, and the budget has a retry for it if
+// it needs one.
+func (f *Forwarder) nextEndpoint(c *call) (registrar.Entry, bool) {
+	e, ok := f.permittedEndpoint(c)
+	if _, ended := f.interruption(c); ended || !ok {
+		return e, false
+	}
+	return e, !c.arrived || f.takePlainRetry(c)
+}
+
 // takePlainRetry takes a retry from the budget for a plain service, unless it is taken already.
 func (f *Forwarder) takePlainRetry(c *call) bool {
 	if c.paid.Swap(false) || f.cfg.Budget.TakeRetry(c.service, false) {
@@ -313,8 +321,8 @@
 
 // finish answers the caller with the outcome, or with a refusal.
 func (f *Forwarder) finish(c *call, o outcome, endpoint registrar.Entry) {
-	if c.r.Context().Err() != nil {
-		f.refuse(c, c.callerLeft())
+	if r, ended := f.interruption(c); ended {
+		f.refuse(c, r)
 		return
 	}
 	if c.sends > 0 && o.deliverable() {
--- /dev/null
+++ b/internal/supervisor/forwarder/stop_test.go
@@ -0,0 +1,183 @@
+package forwarder
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanquay/internal/driver"
+	"banyanquay/internal/registrar"
+	"banyanquay/internal/standin/emulator"
+	"banyanquay/internal/supervisor/forwarder/pacer"
+)
+
+// caller is a request with the right key.
+func caller(method, path, after, body string) *http.Request {
+	r := httptest.NewRequest(method, "http://"+host+path, strings.NewReader(body))
+	r.Header.Set("ID", "r")
+	r.Header.Set("Key", secret)
+	r.Header.Set("After", after)
+	return r
+}
+
+// countSends counts the requests with the ID "r" that a relay sends from now on.
+func countSends(w *harness) *atomic.Int64 {
+	n, send := new(atomic.Int64), w.f.cfg.Relay.Send
+	w.f.cfg.Relay.Send = func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+		if f.ID == "r" {
+			n.Add(1)
+		}
+		return send(ctx, address, f)
+	}
+	return n
+}
+
+// checkRefused checks that a request was refused by a node that stops, which has not run it.
+func checkRefused(t *testing.T, a response) {
+	t.Helper()
+	if a.aborted || a.Code != http.StatusServiceUnavailable || !strings.Contains(a.Body.String(), `"ran":"never"`) {
+		t.Errorf("answer: got %d (aborted: %v) %s, want 503 that says that it didn't run", a.Code, a.aborted, a.Body)
+	}
+	if got, want := a.Header().Get("Connection"), "close"; got != want {
+		t.Errorf("Connection: got %q, want %q", got, want)
+	}
+}
+
+// Guards against requests that were admitted before the gate closed, wait or have their body
+// read then, and are passed on at any later time of the stop: its end cuts them off.
+func TestRequestsThatWaitWhenTheGateClosesAreNotSent(t *testing.T) {
+	// closing is when the gate closes after the request came, and late how much later the
+	// request may be refused.
+	const closing, late = 50 * time.Millisecond, 20 * time.Millisecond
+	slowBody := func(t *testing.T) *harness {
+		var sent []driver.Forward
+		w := newHarness(t, scriptedRelay(&sent, signedReply(200, "ok")), plainEntries()...)
+		w.f.cfg.Decode = func(r *http.Request, arrived time.Time) (Request, error) {
+			time.Sleep(closing + late)
+			return decode(r, arrived)
+		}
+		return w
+	}
+	cases := []struct {
+		name  string
+		r     *http.Request
+		setUp func(t *testing.T) *harness
+	}{
+		{"a body that is sent slowly", caller("POST", pathPut+"1", "", "x"), slowBody},
+		{"a body of a request that may be repeated", caller("GET", pathGet+"1", "", "x"), slowBody},
+		{"a body of a generation", caller("POST", pathLLM+"1", "", "800,200"), func(t *testing.T) *harness {
+			w := slowBody(t)
+			for _, e := range wholeEngines() {
+				w.update(registrar.Change{ID: e.ID, Entry: &e})
+			}
+			return w
+		}},
+		{"a permit", caller("POST", pathPut+"1", "", "x"), func(t *testing.T) *harness {
+			var sent []driver.Forward
+			w := newHarness(t, scriptedRelay(&sent, signedReply(200, "ok")), plainEntries()...)
+			for _, e := range plainEntries() {
+				w.f.cfg.Throttler.BackOff(e.ID, maxLimitWait-time.Millisecond)
+			}
+			return w
+		}},
+		{"a path of a resumed stream", caller("POST", pathLLM+"1", "3", "800,200"), func(t *testing.T) *harness {
+			var sent []driver.Forward
+			_, half := engines(map[string][][2]int{"a": {{0, 40}}})
+			whole := wholeEngines()[1]
+			w := newHarness(t, scriptedRelay(&sent, signedReply(200, "id: 4\ndata: x\n\n")), half...)
+			time.AfterFunc(resumedTimeout/2, func() { w.update(registrar.Change{ID: whole.ID, Entry: &whole}) })
+			return w
+		}},
+		{"a long prompt that is held", caller("POST", "/llm0/1", "", string(emulator.Body(2280, 20))), func(t *testing.T) *harness {
+			w, _, _ := newPromptsHarness(t, 0)
+			w.f.pacer = pacer.New(func() float64 { return 2 })
+			for _, id := range firstEngines {
+				w.f.assessor.AddPrefill(id, 2*time.Second)
+			}
+			end := w.f.pacer.Begin(firstEngines, pacer.Request{Tokens: 650, Usual: 650, Target: 500 * time.Millisecond, Arrived: time.Now()})
+			time.AfterFunc(time.Second, end)
+			return w
+		}},
+		{"room", caller("POST", pathLLM+"1", "", string(emulator.Body(100, 4))), func(t *testing.T) *harness {
+			w, _ := scarceWorld(t)
+			began := time.Now()
+			w.f.cfg.OtherTokens = func(string) (int, int) {
+				return int(max(4.1-2*time.Since(began).Seconds(), 0.1) * scarceTokens), 0
+			}
+			for n := range 15 {
+				go w.send(t.Context(), "POST", pathLLM+"1", fmt.Sprintf("early%d", n), string(emulator.Body(100, 4)))
+				time.Sleep(100 * time.Millisecond)
+			}
+			return w
+		}},
+		{"a node that has not read the store", caller("POST", pathPut+"1", "", "x"), func(t *testing.T) *harness {
+			var sent []driver.Forward
+			w := newHarness(t, scriptedRelay(&sent, signedReply(200, "ok")), plainEntries()...)
+			w.tableUnread = true
+			time.AfterFunc(readyTimeout/2, func() {
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				w.tableUnread = false
+			})
+			return w
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := c.setUp(t)
+				sends, began := countSends(w), time.Now()
+				time.AfterFunc(closing, w.f.cfg.Gate.Close)
+				a := w.serve(c.r)
+				checkRefused(t, a)
+				if got := sends.Load(); got > 0 {
+					t.Errorf("sends: got %d, want none", got)
+				}
+				if got := time.Since(began); got < closing || got > closing+late {
+					t.Errorf("refused after %v, want at most %v after the gate closed at %v", got, late, closing)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a stop that refuses a request once an endpoint may have begun with it: its
+// further attempts go on while the stop lasts.
+func TestSentRequestsGoOnWhenTheGateCloses(t *testing.T) {
+	cases := []struct {
+		name    string
+		r       *http.Request
+		scripts []script
+		sends   int64
+	}{
+		{"an attempt in progress", caller("POST", pathPut+"1", "", "x"), []script{signedReply(200, "ok")}, 1},
+		{"a repeated attempt", caller("GET", pathGet+"1", "", "x"), []script{signedReply(500, "no"), signedReply(200, "ok")}, 2},
+		{"an endpoint that refuses it", caller("POST", pathPut+"1", "", "x"), []script{unsignedReply(503, true), signedReply(200, "ok")}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var sent []driver.Forward
+				relay := scriptedRelay(&sent, c.scripts...)
+				send := relay.Send
+				relay.Send = func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+					time.Sleep(100 * time.Millisecond)
+					return send(ctx, address, f)
+				}
+				w := newHarness(t, relay, plainEntries()...)
+				sends := countSends(w)
+				time.AfterFunc(50*time.Millisecond, w.f.cfg.Gate.Close)
+				if a := w.serve(c.r); a.Code != http.StatusOK || sends.Load() != c.sends {
+					t.Errorf("got %d after %d sends, want 200 after %d: %s", a.Code, sends.Load(), c.sends, a.Body)
+				}
+			})
+		})
+	}
+}
--- a/internal/supervisor/forwarder/waiting.go
+++ b/internal/supervisor/forwarder/waiting.go
@@ -2,8 +2,6 @@
 
 import (
 	"time"
-
-	"banyanquay/internal/grouper"
 )
 
 const (
@@ -33,7 +31,7 @@
 
 // wait waits for a moment until what a request's next attempt needs may be there. It
 // reports whether the request goes on: until it has waited for limit since began, and until its
-// caller leaves.
+// caller leaves or, if it was not sent, the gate closes.
 func (f *Forwarder) wait(c *call, began time.Time, limit time.Duration) bool {
 	waited := f.cfg.Now().Sub(began)
 	if waited > limit || limit <= 0 {
@@ -43,5 +41,5 @@
 	if waited > resumedTimeout {
 		interval = slowPollInterval
 	}
-	return grouper.Sleep(c.r.Context(), interval)
+	return c.sleep(interval)
 }
--- a/internal/supervisor/listener/gate.go
+++ b/internal/supervisor/listener/gate.go
@@ -14,6 +14,9 @@
 // when the time of a planned stop is up.
 var ErrExpired = trace.LimitExceeded("the deadline of the stop has passed")
 
+// errClosed is the cause with which the contexts of UntilClosed end.
+var errClosed = trace.LimitExceeded("the node is stopping")
+
 // Gate counts the work in progress and stops admitting new work in three phases.
 // While the node is leaving, callers with a cached address are still served;
 // once the gate is closed, all new work is refused; once it has expired, the work in
@@ -31,6 +34,9 @@
 	// idle is closed when the gate is closed and no request or refusal is in
 	// progress.
 	idle chan struct{}
+	// closing ends, by endClosing, when the gate closes.
+	closing    context.Context
+	endClosing context.CancelFunc
 	// expiry ends, by expire, when the gate expires.
 	expiry context.Context
 	expire context.CancelFunc
@@ -39,6 +45,7 @@
 // NewGate returns an open gate.
 func NewGate() *Gate {
 	g := &Gate{idle: make(chan struct{})}
+	g.closing, g.endClosing = context.WithCancel(context.Background())
 	g.expiry, g.expire = context.WithCancel(context.Background())
 	return g
 }
@@ -118,8 +125,20 @@
 // Context returns a context that also ends when the gate expires, with the cause
 // ErrExpired. The function that it returns releases its resources.
 func (g *Gate) Context(ctx context.Context) (context.Context, context.CancelFunc) {
+	return endWith(ctx, g.expiry, ErrExpired)
+}
+
+// UntilClosed returns a context that also ends when the gate closes, for the waits of a
+// request that has been passed on to no endpoint. The function that it returns releases its
+// resources.
+func (g *Gate) UntilClosed(ctx context.Context) (context.Context, context.CancelFunc) {
+	return endWith(ctx, g.closing, errClosed)
+}
+
+// endWith returns a context that also ends, with a cause, when another one does.
+func endWith(ctx, other context.Context, cause error) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(g.expiry, func() { cancel(ErrExpired) })
+	stop := context.AfterFunc(other, func() { cancel(cause) })
 	return ctx, func() {
 		stop()
 		cancel(nil)
@@ -132,6 +151,7 @@
 	defer g.mu.Unlock()
 	g.leaving = true
 	g.closed = true
+	g.endClosing()
 	g.signalIdle()
 }
 
