Answer requests in progress at the end of a stop

Callers of a node whose stop.deadline passed got no answer: their connections were closed up to 5 s later, among them those of requests that may not be repeated and of requests whose body was still being read. A stream in mid-answer ended without a reason.

The contexts of the handlers ended with their connections only. The tree's context was cancelled at the deadline, so the ledger, the links and the clients of the platform stopped first, while the listener waited for the handlers.

A request's context now also ends when the gate expires, and so does the reading of a body. The listener lets the gate expire when it closes, too. The request is refused with 7001 and keeps what is known of whether it ran; one that may have run and may not be repeated gets 4002 with status 502, as clients may repeat requests on 503. A stream ends with an error event. All of them name other nodes, and the connection is closed. Refusals for other reasons stay.

The tests' listener in fake time has a gate for each run, since the gate's context now has a channel, which belongs to one bubble.

--- a/internal/supervisor/listener/caller.go
+++ b/internal/supervisor/listener/caller.go
@@ -1,6 +1,7 @@
 package listener
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -67,11 +68,20 @@
 				zap.String("organisation", org.Template.Name), zap.String("path", loggedPath(r)))
 		}
 		if err != nil {
-			l.refuse(w, r, includeEarlierAttempts(r, asRefusal(err)))
+			l.refuse(w, r, includeEarlierAttempts(r, l.includeOtherNodes(org, asRefusal(err))))
 		}
 	})
 }
 
+// includeOtherNodes adds the addresses of other nodes to the refusals of a node that serves
+// its organisations no longer.
+func (l *Listener) includeOtherNodes(org describer.Organisation, refusal refuser.Refusal) refuser.Refusal {
+	if !l.sendsElsewhere(refusal) || org.Template.Name == "" || len(refusal.Addresses) > 0 {
+		return refusal
+	}
+	return refusal.WithAddresses(l.cfg.Addresses(org.Template.Name))
+}
+
 // includeEarlierAttempts makes a refusal that states that the request never ran
 // hold for earlier attempts under the same key too, which other nodes may have
 // run: unless it is proved, it then states that the request may have run. Refusals
@@ -119,11 +129,24 @@
 	return refuser.New(refuser.InternalError, "%v", err).WithRan(refuser.Maybe)
 }
 
-// readBody reads the whole body within the limits of size and time. It then
-// removes the read deadline, so that the caller may wait for its answer however
-// long that takes.
-func readBody(w http.ResponseWriter, r request) ([]byte, error) {
+// readBody reads the whole body within the limits of size and time, and until the gate
+// expires. It then removes the read deadline, so that the caller may wait for its answer
+// however long that takes.
+func (l *Listener) readBody(w http.ResponseWriter, r request) ([]byte, error) {
+	ctx, cancel := l.cfg.Gate.Context(r.Context())
+	defer cancel()
+	aborted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(aborted)
+		_ = http.NewResponseController(w).SetReadDeadline(time.Unix(1, 0))
+	})
 	data, err := io.ReadAll(r.Body)
+	if !stop() {
+		<-aborted
+	}
+	if err != nil && expired(ctx) {
+		return nil, refuser.New(refuser.Leaving, "reading the body: %v", ErrExpired).WithWait(retryElsewhereDelay)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, refuser.New(refuser.BodyTooLarge, "the limit is %d bytes", tooLarge.Limit)
--- a/internal/supervisor/listener/chat.go
+++ b/internal/supervisor/listener/chat.go
@@ -77,7 +77,7 @@
 // generate runs a request to a model and sends the answer as a stream or in one
 // response.
 func (l *Listener) generate(w http.ResponseWriter, r request, format answerFormat, prompt func(chatRequest) string) error {
-	data, err := readBody(w, r)
+	data, err := l.readBody(w, r)
 	if err != nil {
 		return err
 	}
@@ -110,7 +110,7 @@
 }
 
 // withTimeout limits the request's time to the configured limit, or to the
-// X-Timeout-Seconds header if that is shorter.
+// X-Timeout-Seconds header if that is shorter, and to the expiry of the gate.
 func (l *Listener) withTimeout(r request) (context.Context, context.CancelFunc, error) {
 	limit := l.cfg.Limits.Request.Duration
 	if text := r.Header.Get(headerTimeoutSeconds); text != "" {
@@ -121,8 +121,12 @@
 		seconds = min(seconds, limit.Seconds())
 		limit = time.Duration(seconds * float64(time.Second))
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), limit)
-	return ctx, cancel, nil
+	open, release := l.cfg.Gate.Context(r.Context())
+	ctx, cancel := context.WithTimeout(open, limit)
+	return ctx, func() {
+		cancel()
+		release()
+	}, nil
 }
 
 // newChat validates a request against its organisation's template and the
@@ -177,7 +181,7 @@
 		return nil
 	})
 	if err != nil {
-		return asAnswerOutdated(chat, err)
+		return asExpired(ctx, chat.Organisation.Template.ChatNonIdempotent, asAnswerOutdated(chat, err))
 	}
 	l.cfg.Counters.Requests.Add("whole", 1)
 	return reply.sendAnswer(tokens)
@@ -194,11 +198,11 @@
 		l.cfg.Counters.Requests.Add("streamed", 1)
 		return reply.sendEnd()
 	}
-	err = asAnswerOutdated(chat, err)
+	err = asExpired(ctx, chat.Organisation.Template.ChatNonIdempotent, asAnswerOutdated(chat, err))
 	if !reply.started {
 		return err
 	}
-	refusal := asRefusal(err)
+	refusal := l.includeOtherNodes(r.org, asRefusal(err))
 	l.recordRefusal(r.Request, refusal)
 	reply.sendError(refusal)
 	return nil
--- a/internal/supervisor/listener/listener.go
+++ b/internal/supervisor/listener/listener.go
@@ -136,9 +136,11 @@
 	return trace.Wrap(err, "serving on %s", l.cfg.Address)
 }
 
-// close gives callers up to shutdownTimeout to read answers that are still
-// being written, then closes the remaining connections.
+// close ends the requests that are still in progress, as the ledger and the links to other
+// nodes stop at the same time. It gives callers up to shutdownTimeout to read answers that
+// are still being written, then closes the remaining connections.
 func (l *Listener) close() {
+	l.cfg.Gate.Expire()
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if l.server.Shutdown(ctx) != nil {
@@ -176,13 +178,22 @@
 	})
 }
 
-// refuse sends, counts and logs a refusal.
+// refuse sends, counts and logs a refusal. A node that refuses since it is leaving also
+// closes the connection, so that the caller connects to another node.
 func (l *Listener) refuse(w http.ResponseWriter, r *http.Request, refusal refuser.Refusal) {
 	l.recordRefusal(r, refusal)
+	if l.sendsElsewhere(refusal) {
+		w.Header().Set("Connection", "close")
+	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(refusalTimeout))
 	refusal.Write(w)
 }
 
+// sendsElsewhere reports whether the caller is to use another node from now on.
+func (l *Listener) sendsElsewhere(refusal refuser.Refusal) bool {
+	return refusal.Code == refuser.Leaving || l.cfg.Gate.Closed()
+}
+
 // recordRefusal counts and logs a refusal.
 func (l *Listener) recordRefusal(r *http.Request, refusal refuser.Refusal) {
 	l.cfg.Counters.Refusals.Add(refusal.Code.String(), 1)
--- a/internal/supervisor/listener/service.go
+++ b/internal/supervisor/listener/service.go
@@ -19,7 +19,7 @@
 
 // service answers /v1/services/{service}/...
 func (l *Listener) service(w http.ResponseWriter, r request) error {
-	data, err := readBody(w, r)
+	data, err := l.readBody(w, r)
 	if err != nil {
 		return err
 	}
@@ -39,7 +39,7 @@
 	}
 	result, err := l.cfg.Call(ctx, call)
 	if err != nil {
-		return err
+		return asExpired(ctx, call.Route.NonIdempotent, err)
 	}
 	l.cfg.Counters.Requests.Add("called", 1)
 	copyHeaders(w.Header(), result.Answer.Header, returnedHeaders)
--- a/internal/supervisor/listener/wire_test.go
+++ b/internal/supervisor/listener/wire_test.go
@@ -53,9 +53,11 @@
 }
 
 // runInMemory runs a test over in-memory connections to the listener in fake
-// time. stop stops the listener and waits for its end.
+// time. stop stops the listener and waits for its end. Each run has a gate of its own, as a
+// stop closes it and its contexts belong to one bubble of fake time.
 func runInMemory(t *testing.T, e *testListener, test func(t *testing.T, p *pipeListener, stop func())) {
 	synctest.Test(t, func(t *testing.T) {
+		e.cfg.Gate = NewGate()
 		p := newPipeListener()
 		ctx, cancel := context.WithCancel(t.Context())
 		ended := make(chan error, 1)
