End requests that may not be repeated at a stop's end

A keyed call at a service that was still at work when stop.deadline passed ran on, and so did a chat that may not be repeated. By the time they ended, the node's ledger had stopped: their callers got no answer, and the key stayed held, so that a retry at another node first waited for its holder's end.

Both run with a context that does not end with the caller's, so that their answer is recorded when the caller leaves. Nothing else ended it.

The context now also ends at the deadline of a stop. A request that was sent is recorded as lost at once and refused with 4002; one that was sent to no endpoint releases its claim and is refused with 7001 and attempt never, instead of being tried at the next endpoint. The endpoint isn't reported as failed.

With the code before, call, call of a caller that has left and chat were still in progress 200 ms after the deadline, and another ledger read the key's phase as held after the node's had stopped; now it is lost.

--- a/internal/supervisor/dispatcher/call.go
+++ b/internal/supervisor/dispatcher/call.go
@@ -106,8 +106,10 @@
 // dispatch sends a claimed call. It tries another endpoint only as long as no
 // byte of the call has been written.
 func (d *Dispatcher) dispatch(ctx context.Context, call Call, ticket *claimer.Ticket) (Result, error) {
-	// The call continues when the caller leaves, and its answer is recorded.
-	ctx = context.WithoutCancel(ctx)
+	// The call continues when the caller leaves, and its answer is recorded. At the deadline
+	// of a planned stop it ends, while its outcome can still be recorded.
+	ctx, cancel := d.cfg.UntilStopped(context.WithoutCancel(ctx))
+	defer cancel()
 	out := call.Call
 	out.Key, out.Fence = keyAndFence(call, ticket)
 	last := noEndpoint(call.Route.Service)
@@ -123,11 +125,16 @@
 			d.record(ctx, call.Request, ticket, claimer.Answer(answer))
 			return Result{Answer: answer}, nil
 		}
-		d.cfg.Failed(address)
+		if ctx.Err() == nil {
+			d.cfg.Failed(address)
+		}
 		var unsent *driver.Unsent
 		if !errors.As(err, &unsent) {
 			return Result{}, d.outcomeUnknown(ctx, call, ticket, address, err)
 		}
+		if ctx.Err() != nil {
+			return Result{}, proved(ticket.Release(ctx, stopped()))
+		}
 		last = refuser.New(refuser.EndpointFailed, "the call could not be sent to %s: %v", address, err).WithWait(retryAfter)
 		if _, err := d.cfg.Retry(retrier.FailedAttempt{Organisation: org, Address: address, Reason: retrier.ServiceUnsent, Attempt: i + 1, Placed: placed}); err != nil {
 			break
--- a/internal/supervisor/dispatcher/call_test.go
+++ b/internal/supervisor/dispatcher/call_test.go
@@ -11,6 +11,7 @@
 	"banyanquay/internal/counter"
 	"banyanquay/internal/describer"
 	"banyanquay/internal/driver"
+	"banyanquay/internal/provider"
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
 	"banyanquay/internal/standin/archiver"
@@ -75,8 +76,13 @@
 
 // newReadyLedger returns a running ledger that has read the log to its end.
 func newReadyLedger(ctx context.Context, t *testing.T) *claimer.Claimer {
+	return newLedgerOf(ctx, t, archiver.New(archiver.Config{}).Log())
+}
+
+// newLedgerOf is newReadyLedger with a log that other ledgers may use, too.
+func newLedgerOf(ctx context.Context, t *testing.T, log provider.Log) *claimer.Claimer {
 	ledger := claimer.New(claimer.Config{
-		Log:      archiver.New(archiver.Config{}).Log(),
+		Log:      log,
 		Recorder: recorder.Nop(),
 		Counters: counter.New(),
 		Node:     "n",
--- a/internal/supervisor/dispatcher/chat.go
+++ b/internal/supervisor/dispatcher/chat.go
@@ -102,9 +102,12 @@
 
 // runOnce runs a claimed request and records how it ended.
 func (d *Dispatcher) runOnce(ctx context.Context, chat Chat, ticket *claimer.Ticket, emit runner.Emit) error {
-	// The request continues when the caller leaves, and its answer is recorded.
+	// The request continues when the caller leaves, and its answer is recorded. At the
+	// deadline of a planned stop it ends, while its outcome can still be recorded.
 	ctx, cancel := detach(ctx)
 	defer cancel()
+	ctx, release := d.cfg.UntilStopped(ctx)
+	defer release()
 	var tokens []string
 	err := d.run(ctx, chat, func(position int, token string) error {
 		tokens = append(tokens, token)
--- a/internal/supervisor/dispatcher/dispatcher.go
+++ b/internal/supervisor/dispatcher/dispatcher.go
@@ -42,8 +42,11 @@
 	// CallTimeout is the timeout of a call to a plain service whose route has
 	// none.
 	CallTimeout time.Duration
-	Recorder    *recorder.Recorder
-	Counters    *counter.Set
+	// UntilStopped returns a context that also ends at the deadline of a planned stop;
+	// nil means that there is no such deadline.
+	UntilStopped func(ctx context.Context) (context.Context, context.CancelFunc)
+	Recorder     *recorder.Recorder
+	Counters     *counter.Set
 }
 
 // Dispatcher runs requests.
@@ -53,6 +56,9 @@
 
 // New returns a dispatcher.
 func New(cfg Config) *Dispatcher {
+	if cfg.UntilStopped == nil {
+		cfg.UntilStopped = context.WithCancel
+	}
 	return &Dispatcher{cfg: cfg}
 }
 
@@ -123,6 +129,15 @@
 	return refuser.New(refuser.InternalError, "%v", err).WithRan(refuser.Maybe)
 }
 
+// stopped returns the refusal of a request that was sent to no endpoint before the node's
+// stop.
+func stopped() refuser.Refusal {
+	return refuser.New(refuser.Leaving, "the node is stopping, and has not sent the request to an endpoint").WithWait(leavingRetryDelay)
+}
+
+// leavingRetryDelay is when to retry at another node.
+const leavingRetryDelay = time.Second
+
 // proved marks a refusal whose Ran holds for every attempt according to the ledger.
 func proved(r refuser.Refusal) error {
 	return r.WithProof()
--- /dev/null
+++ b/internal/supervisor/dispatcher/stop_test.go
@@ -0,0 +1,200 @@
+package dispatcher
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"banyanquay/internal/counter"
+	"banyanquay/internal/describer"
+	"banyanquay/internal/driver"
+	"banyanquay/internal/recorder"
+	"banyanquay/internal/refuser"
+	"banyanquay/internal/standin/archiver"
+	"banyanquay/internal/supervisor/claimer"
+	"banyanquay/internal/supervisor/claimer/reducer"
+	"banyanquay/internal/supervisor/dispatcher/admitter"
+	"banyanquay/internal/supervisor/dispatcher/planner"
+	"banyanquay/internal/supervisor/dispatcher/retrier"
+	"banyanquay/internal/supervisor/dispatcher/runner"
+)
+
+// stoppingNode is a dispatcher, its ledger and the phases of the node's stop.
+type stoppingNode struct {
+	cfg Config
+	// expiry ends at the deadline of the stop, by expire.
+	expiry context.Context
+	expire context.CancelFunc
+	// stopLedger ends the ledger's steps, and later reads its log with another ledger.
+	stopLedger func()
+	later      func() *claimer.Claimer
+	// sent counts the calls and steps that were sent.
+	sent atomic.Int32
+}
+
+// runStop runs a test with a node in fake time. Its services and engines work until their
+// calls end.
+func runStop(t *testing.T, test func(t *testing.T, n *stoppingNode)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		ledgerCtx, stopLedger := context.WithCancel(ctx)
+		log := archiver.New(archiver.Config{}).Log()
+		n := &stoppingNode{stopLedger: stopLedger}
+		n.later = func() *claimer.Claimer { return newLedgerOf(ctx, t, log) }
+		n.expiry, n.expire = context.WithCancel(ctx)
+		n.cfg = Config{
+			Admit:            grantAtOnce,
+			AdmitCall:        grantAtOnce,
+			Ledger:           newLedgerOf(ledgerCtx, t, log),
+			Pipelines:        n.newRunner(),
+			Services:         driver.Service{Do: n.call, Once: n.call},
+			ServiceAddresses: func(string, string) []string { return []string{"s1", "s2"} },
+			Failed:           func(string) {},
+			Retry:            func(retrier.FailedAttempt) (time.Duration, error) { return 0, nil },
+			Succeeded:        func(string, ...string) {},
+			CallTimeout:      time.Minute,
+			UntilStopped: func(ctx context.Context) (context.Context, context.CancelFunc) {
+				ctx, cancel := context.WithCancel(ctx)
+				context.AfterFunc(n.expiry, cancel)
+				return ctx, cancel
+			},
+			Recorder: recorder.Nop(),
+			Counters: counter.New(),
+		}
+		test(t, n)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+func grantAtOnce(context.Context, admitter.Request) (admitter.Grant, error) {
+	return admitter.Grant{Release: func(int) {}}, nil
+}
+
+// call works until its context ends.
+func (n *stoppingNode) call(ctx context.Context, _ string, call driver.Call) (driver.Answer, error) {
+	n.sent.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
+	<-ctx.Done()
+	return driver.Answer{}, ctx.Err()
+}
+
+// newRunner returns a runner whose only engine makes one token and then works until the
+// step's context ends.
+func (n *stoppingNode) newRunner() *runner.Runner {
+	return runner.New(runner.Config{
+		Engine: driver.Engine{
+			Step: func(ctx context.Context, _ string, s driver.Step) (driver.StepResult, error) {
+				n.sent.Add(1)
+				if s.Position > 0 {
+					<-ctx.Done()
+					return driver.StepResult{}, ctx.Err()
+				}
+				return driver.StepResult{Request: s.Request, Attempt: s.Attempt, Outputs: slices.Repeat([]string{"t "}, len(s.Inputs))}, nil
+			},
+			Cancel: func(context.Context, string, driver.Cancel) error { return nil },
+			Drop:   func(string) {},
+		},
+		Plan: func(planner.Request) (planner.Plan, error) {
+			return planner.Plan{{Address: "e", First: 0, Last: 4}}, nil
+		},
+		Begin:   func(string) func(time.Duration, error) { return func(time.Duration, error) {} },
+		Observe: func(string, time.Duration) {},
+		Failed:  func(string) {},
+		Retry: func(retrier.FailedAttempt) (time.Duration, error) {
+			return 0, refuser.New(refuser.RetryBudgetSpent, "none left")
+		},
+		StepTimeout: 30 * time.Second,
+		FillTimeout: 30 * time.Second,
+		Recorder:    recorder.Nop(),
+	})
+}
+
+// order calls a service once under the key k.
+func (n *stoppingNode) order(ctx context.Context) error {
+	_, err := New(n.cfg).Call(ctx, Call{
+		Organisation: describer.Organisation{Template: describer.Template{Name: "desk"}},
+		Route:        describer.Route{Service: "orders", NonIdempotent: true},
+		Key:          Key{Value: "k", Number: 1, Issued: time.Now()},
+	})
+	return err
+}
+
+// chatWith returns a chat request, which is non-idempotent under the key k if once is set.
+func (n *stoppingNode) chatWith(once bool) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		return New(n.cfg).Chat(ctx, Chat{
+			Request: "r", Prompt: "p", Tokens: 4,
+			Organisation: describer.Organisation{Template: describer.Template{Name: "desk", ChatNonIdempotent: once}},
+			Key:          Key{Value: "k", Number: 1, Issued: time.Now()},
+		}, func(int, string) error { return nil })
+	}
+}
+
+// soon is the time in which a request is to end once the node's stop ends it. A node waits
+// this long for the outcomes before its ledger stops.
+const soon = 200 * time.Millisecond
+
+// Guards against requests that may not be repeated and outlast the deadline of a planned
+// stop: the ledger had stopped when they ended, so that their outcome was not recorded.
+// A caller that has left before must not keep them in progress.
+func TestStopEndsNonIdempotentRequests(t *testing.T) {
+	for _, name := range []string{"call", "call whose caller left", "chat"} {
+		t.Run(name, func(t *testing.T) {
+			runStop(t, func(t *testing.T, n *stoppingNode) {
+				send := n.order
+				if name == "chat" {
+					send = n.chatWith(true)
+				}
+				ctx, leave := context.WithCancel(t.Context())
+				defer leave()
+				ended := make(chan error, 1)
+				go func() { ended <- send(ctx) }()
+				time.Sleep(10 * time.Second)
+				if name == "call whose caller left" {
+					leave()
+					synctest.Wait()
+				}
+				n.expire()
+				time.Sleep(soon)
+				select {
+				case err := <-ended:
+					if got := refusal(err); got.Ran != refuser.Maybe || got.Attempt != refuser.Maybe {
+						t.Errorf("got %v, want ran maybe", err)
+					}
+				default:
+					t.Errorf("still in progress %s after the deadline", soon)
+				}
+				n.stopLedger()
+				time.Sleep(time.Second)
+				if got, _ := n.later().Lookup("desk", "k"); got.Phase != reducer.Lost {
+					t.Errorf("got phase %s, want %s", got.Phase, reducer.Lost)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a call that the stop ended before it was sent, and that is then tried at
+// the next endpoint, or refused as if an endpoint had failed.
+func TestStopEndsCallsThatAreNotSent(t *testing.T) {
+	runStop(t, func(t *testing.T, n *stoppingNode) {
+		n.cfg.Services.Once = func(ctx context.Context, address string, call driver.Call) (driver.Answer, error) {
+			_, err := n.call(ctx, address, call)
+			return driver.Answer{}, &driver.Unsent{Err: err}
+		}
+		n.cfg.Failed = func(address string) { t.Errorf("%s is reported as failed", address) }
+		ended := make(chan error, 1)
+		go func() { ended <- n.order(t.Context()) }()
+		time.Sleep(10 * time.Second)
+		n.expire()
+		got := refusal(<-ended)
+		if got.Code != refuser.Leaving || got.Attempt != refuser.Never || n.sent.Load() != 1 {
+			t.Errorf("got %v and %d sent, want %s, attempt never, 1 sent", got, n.sent.Load(), refuser.Leaving)
+		}
+	})
+}
--- a/internal/supervisor/wiring.go
+++ b/internal/supervisor/wiring.go
@@ -185,7 +185,7 @@
 	})
 }
 
-func newDispatcher(s loader.Settings, a admitters, c *claimer.Claimer, p *runner.Runner, v driver.Service, w *watcher.Watcher, t *retrier.Retrier, r *recorder.Recorder, n *counter.Set) *dispatcher.Dispatcher {
+func newDispatcher(s loader.Settings, a admitters, c *claimer.Claimer, p *runner.Runner, v driver.Service, w *watcher.Watcher, t *retrier.Retrier, g *listener.Gate, r *recorder.Recorder, n *counter.Set) *dispatcher.Dispatcher {
 	return dispatcher.New(dispatcher.Config{
 		Admit:     a.chats.Acquire,
 		AdmitCall: a.calls.Acquire,
@@ -195,12 +195,13 @@
 		ServiceAddresses: func(organisation, service string) []string {
 			return serviceAddresses(w.Endpoints().All(), organisation, service)
 		},
-		Failed:      w.ReportFailed,
-		Retry:       t.Retry,
-		Succeeded:   t.Succeeded,
-		CallTimeout: s.Flow.CallTimeout.Duration,
-		Recorder:    r,
-		Counters:    n,
+		Failed:       w.ReportFailed,
+		Retry:        t.Retry,
+		Succeeded:    t.Succeeded,
+		CallTimeout:  s.Flow.CallTimeout.Duration,
+		UntilStopped: g.Context,
+		Recorder:     r,
+		Counters:     n,
 	})
 }
 
