Don't take calls that their caller ended for failures

A caller that closed its connection in the middle of an idempotent call put the service's endpoint in doubt at that node, and the call was logged as 5003, endpoints failed. The end of a planned stop would have done the same for all calls in progress.

The failure was reported before the request's context was checked.

A call whose context was cancelled is no longer reported as a failure and ends with 5005, which the listener turns into 7001 at the end of a stop. A call that exceeds its time limit counts as before: the endpoint may be at fault.

With the code before, TestEndedCallsAreNoFailures sees the endpoint reported and 5003.

--- a/internal/supervisor/dispatcher/call.go
+++ b/internal/supervisor/dispatcher/call.go
@@ -73,6 +73,9 @@
 			d.cfg.Succeeded(org, address)
 			return Result{Answer: answer}, nil
 		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return Result{}, refuser.New(refuser.CallerLeft, "calling %s: %v", address, err).WithRan(refuser.Maybe)
+		}
 		d.cfg.Failed(address)
 		last = refuser.New(refuser.EndpointFailed, "calling %s: %v", address, err).WithRan(refuser.Maybe).WithWait(retryAfter)
 		if ctx.Err() != nil {
--- a/internal/supervisor/dispatcher/stop_test.go
+++ b/internal/supervisor/dispatcher/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -124,6 +125,12 @@
 	return err
 }
 
+// query calls a service that may be called again.
+func (n *stoppingNode) query(ctx context.Context) error {
+	_, err := New(n.cfg).Call(ctx, Call{Route: describer.Route{Service: "orders"}})
+	return err
+}
+
 // chatWith returns a chat request, which is non-idempotent under the key k if once is set.
 func (n *stoppingNode) chatWith(once bool) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
@@ -198,3 +205,17 @@
 		}
 	})
 }
+
+// Guards against an endpoint that is taken for failed, and refused to callers as such, since
+// a caller left or a stop ended its call.
+func TestEndedCallsAreNoFailures(t *testing.T) {
+	runStop(t, func(t *testing.T, n *stoppingNode) {
+		n.cfg.Failed = func(address string) { t.Errorf("%s is reported as failed", address) }
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		var got refuser.Refusal
+		if err := n.query(ctx); !errors.As(err, &got) || got.Code != refuser.CallerLeft || got.Ran != refuser.Maybe {
+			t.Errorf("got %v, want %s, ran maybe", err, refuser.CallerLeft)
+		}
+	})
+}
