Refuse orders that may outlast a node's stop

With stop.address_ttl 5s and stop.deadline 8s, an order that came 4.9 s after SIGTERM was taken and sent on with 3.1 s left. One that took longer was cut, its outcome unknown, although another node would have had the time.

A stopping node took every request until its gate closed, and nothing knew when the stop would end.

The gate now knows the stop's deadline. A request that may not be repeated is refused with 7001, ran never by the ledger, and other addresses, if both its time limit and its route's timeout (flow.call_timeout without one) end after that. This is checked when it comes and again before it is sent, as it may have waited, in which case its claim is released.

What was weighed: with the default of 10 minutes nothing is refused, as every request ends in 2 minutes. With 8 s, orders without a shorter limit are refused from SIGTERM on, since flow.call_timeout alone is 10 s; most would have been answered in milliseconds. Their callers lose one answer's time, as the refusal names other nodes and says that nothing ran, while an order that is cut needs a person. A route's timeout or X-Timeout-Seconds of up to 3 s keeps them served for the whole address_ttl. Requests that may be repeated are served as before: they lose no more by a cut than by a refusal. A node that knows no other node for the organisation serves all. An order that was answered before is refused as done, and its recorded answer has to be asked for at another node.

With the code before, the dispatcher's test sees 1 call or 2 steps sent instead of none, and the order at a stopping node of two gets 200.

--- a/internal/supervisor/dispatcher/call.go
+++ b/internal/supervisor/dispatcher/call.go
@@ -88,9 +88,13 @@
 	return Result{}, last
 }
 
-// callOnce runs a non-idempotent call at most once under its key.
+// callOnce runs a non-idempotent call at most once under its key, unless it might outlast
+// the node's stop.
 func (d *Dispatcher) callOnce(ctx context.Context, call Call) (Result, error) {
 	attempt := d.attempt(call.Organisation, call.Key, call.Route.Checks)
+	if !d.callInTime(ctx, call) {
+		return Result{}, proved(d.cfg.Ledger.Refuse(ctx, attempt, stopped()))
+	}
 	grant, err := d.cfg.AdmitCall(ctx, admissionRequest(ctx, call.Organisation, 1))
 	if err != nil {
 		return Result{}, proved(d.cfg.Ledger.Refuse(ctx, attempt, refusal(err)))
@@ -106,18 +110,27 @@
 	return d.dispatch(ctx, call, ticket)
 }
 
+// callInTime reports whether a call that is sent now is answered before the node's stop.
+func (d *Dispatcher) callInTime(ctx context.Context, call Call) bool {
+	return d.cfg.InTime(ctx, call.Organisation.Template.Name, call.Call.Timeout)
+}
+
 // dispatch sends a claimed call. It tries another endpoint only as long as no
 // byte of the call has been written.
 func (d *Dispatcher) dispatch(ctx context.Context, call Call, ticket *claimer.Ticket) (Result, error) {
 	// The call continues when the caller leaves, and its answer is recorded. At the deadline
 	// of a planned stop it ends, while its outcome can still be recorded.
-	ctx, cancel := d.cfg.UntilStopped(context.WithoutCancel(ctx))
+	limited := ctx
+	ctx, cancel := d.cfg.UntilStopped(context.WithoutCancel(limited))
 	defer cancel()
 	out := call.Call
 	out.Key, out.Fence = keyAndFence(call, ticket)
 	last := noEndpoint(call.Route.Service)
 	org := call.Organisation.Template.Name
 	for i, address := range d.cfg.ServiceAddresses(org, call.Route.Service) {
+		if !d.callInTime(limited, call) {
+			return Result{}, proved(ticket.Release(ctx, stopped()))
+		}
 		placed := time.Now()
 		answer, err := d.cfg.Services.Once(ctx, address, out)
 		if err == nil && isDuplicate(call.Route, answer) {
--- a/internal/supervisor/dispatcher/chat.go
+++ b/internal/supervisor/dispatcher/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -81,9 +82,13 @@
 	return d.cfg.Pipelines.Run(ctx, job, emit)
 }
 
-// chatOnce runs a non-idempotent request at most once under its key.
+// chatOnce runs a non-idempotent request at most once under its key, unless it might outlast
+// the node's stop.
 func (d *Dispatcher) chatOnce(ctx context.Context, chat Chat, emit runner.Emit) error {
 	attempt := d.attempt(chat.Organisation, chat.Key, describer.ChecksNothing)
+	if !d.cfg.InTime(ctx, chat.Organisation.Template.Name, 0) {
+		return proved(d.cfg.Ledger.Refuse(ctx, attempt, stopped()))
+	}
 	grant, err := d.cfg.Admit(ctx, admissionRequest(ctx, chat.Organisation, chat.Tokens-len(chat.Resume)))
 	if err != nil {
 		return proved(d.cfg.Ledger.Refuse(ctx, attempt, refusal(err)))
@@ -108,6 +113,9 @@
 	defer cancel()
 	ctx, release := d.cfg.UntilStopped(ctx)
 	defer release()
+	if errors.Is(ctx.Err(), context.Canceled) || !d.cfg.InTime(ctx, chat.Organisation.Template.Name, 0) {
+		return proved(ticket.Release(ctx, stopped()))
+	}
 	var tokens []string
 	err := d.run(ctx, chat, func(position int, token string) error {
 		tokens = append(tokens, token)
--- a/internal/supervisor/dispatcher/dispatcher.go
+++ b/internal/supervisor/dispatcher/dispatcher.go
@@ -45,8 +45,12 @@
 	// UntilStopped returns a context that also ends at the deadline of a planned stop;
 	// nil means that there is no such deadline.
 	UntilStopped func(ctx context.Context) (context.Context, context.CancelFunc)
-	Recorder     *recorder.Recorder
-	Counters     *counter.Set
+	// InTime reports whether a request ends before the deadline of a planned stop: by its
+	// context's deadline or, if longest is greater than 0, within that time. It is true, too,
+	// if no other node could serve the organisation; nil means always.
+	InTime   func(ctx context.Context, organisation string, longest time.Duration) bool
+	Recorder *recorder.Recorder
+	Counters *counter.Set
 }
 
 // Dispatcher runs requests.
@@ -59,6 +63,9 @@
 	if cfg.UntilStopped == nil {
 		cfg.UntilStopped = context.WithCancel
 	}
+	if cfg.InTime == nil {
+		cfg.InTime = func(context.Context, string, time.Duration) bool { return true }
+	}
 	return &Dispatcher{cfg: cfg}
 }
 
--- a/internal/supervisor/dispatcher/stop_test.go
+++ b/internal/supervisor/dispatcher/stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -32,6 +33,9 @@
 	// stopLedger ends the ledger's steps, and later reads its log with another ledger.
 	stopLedger func()
 	later      func() *claimer.Claimer
+	// attempts counts the attempts of the key k, which was issued at the start.
+	attempts uint64
+	issued   time.Time
 	// sent counts the calls and steps that were sent.
 	sent atomic.Int32
 }
@@ -43,7 +47,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		ledgerCtx, stopLedger := context.WithCancel(ctx)
 		log := archiver.New(archiver.Config{}).Log()
-		n := &stoppingNode{stopLedger: stopLedger}
+		n := &stoppingNode{stopLedger: stopLedger, issued: time.Now()}
 		n.later = func() *claimer.Claimer { return newLedgerOf(ctx, t, log) }
 		n.expiry, n.expire = context.WithCancel(ctx)
 		n.cfg = Config{
@@ -120,11 +124,17 @@
 	_, err := New(n.cfg).Call(ctx, Call{
 		Organisation: describer.Organisation{Template: describer.Template{Name: "desk"}},
 		Route:        describer.Route{Service: "orders", NonIdempotent: true},
-		Key:          Key{Value: "k", Number: 1, Issued: time.Now()},
+		Key:          n.nextAttempt(),
 	})
 	return err
 }
 
+// nextAttempt returns the key k with the number of its next attempt.
+func (n *stoppingNode) nextAttempt() Key {
+	n.attempts++
+	return Key{Value: "k", Number: n.attempts, Issued: n.issued}
+}
+
 // query calls a service that may be called again.
 func (n *stoppingNode) query(ctx context.Context) error {
 	_, err := New(n.cfg).Call(ctx, Call{Route: describer.Route{Service: "orders"}})
@@ -137,7 +147,7 @@
 		return New(n.cfg).Chat(ctx, Chat{
 			Request: "r", Prompt: "p", Tokens: 4,
 			Organisation: describer.Organisation{Template: describer.Template{Name: "desk", ChatNonIdempotent: once}},
-			Key:          Key{Value: "k", Number: 1, Issued: time.Now()},
+			Key:          n.nextAttempt(),
 		}, func(int, string) error { return nil })
 	}
 }
@@ -219,3 +229,61 @@
 		}
 	})
 }
+
+// Guards against requests that may not be repeated and that a node sends on in a planned stop
+// although they may outlast it: they are cut with an unknown outcome, while another node
+// would have had the time. Until they are sent, their callers can go there.
+func TestStoppingNodeSendsNothingThatMayOutlastIt(t *testing.T) {
+	for _, name := range []string{"call", "chat"} {
+		for _, waits := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, waits %t", name, waits), func(t *testing.T) {
+				runStop(t, func(t *testing.T, n *stoppingNode) {
+					send := n.order
+					if name == "chat" {
+						send = n.chatWith(true)
+					}
+					began := time.Now()
+					n.cfg.InTime = func(context.Context, string, time.Duration) bool {
+						return waits && time.Since(began) < time.Second
+					}
+					n.cfg.Admit, n.cfg.AdmitCall = grantLater, grantLater
+					err := send(t.Context())
+					got := refusal(err)
+					if got.Code != refuser.Leaving || got.Ran != refuser.Never || !got.Proved || n.sent.Load() != 0 {
+						t.Errorf("got %v, proved %t and %d sent, want %s, ran never, proved, none sent", err, got.Proved, n.sent.Load(), refuser.Leaving)
+					}
+					n.cfg.InTime = nil
+					ctx, cancel := context.WithTimeout(t.Context(), 2*time.Minute)
+					defer cancel()
+					_ = send(ctx)
+					if n.sent.Load() == 0 {
+						t.Error("the retry at a node that isn't stopping was not sent")
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against the refusal of requests that may be repeated: their callers lose less if
+// most of them are answered in time than if all have to go to another node.
+func TestStoppingNodeSendsWhatMayBeRepeated(t *testing.T) {
+	runStop(t, func(t *testing.T, n *stoppingNode) {
+		n.cfg.InTime = func(context.Context, string, time.Duration) bool { return false }
+		for _, send := range []func(context.Context) error{n.query, n.chatWith(false)} {
+			before := n.sent.Load()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			_ = send(ctx)
+			cancel()
+			if n.sent.Load() == before {
+				t.Error("got nothing sent, want one request")
+			}
+		}
+	})
+}
+
+// grantLater admits after two seconds.
+func grantLater(ctx context.Context, r admitter.Request) (admitter.Grant, error) {
+	time.Sleep(2 * time.Second)
+	return grantAtOnce(ctx, r)
+}
--- a/internal/supervisor/edge_test.go
+++ b/internal/supervisor/edge_test.go
@@ -3,14 +3,18 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/uuid"
 
 	"banyanquay/internal/describer"
+	"banyanquay/internal/loader"
 	"banyanquay/internal/refuser"
 )
 
@@ -65,6 +69,53 @@
 	}
 }
 
+// Guards against an order that a node takes in a planned stop although it may outlast it,
+// and against orders that are refused without need: that end in time, that other requests
+// may repeat, or that no other node could take.
+func TestStoppingNodeRefusesOrdersThatMayOutlastIt(t *testing.T) {
+	stopping := func(s *loader.Settings) {
+		s.Stop.AddressTTL.Duration, s.Stop.Deadline.Duration = 2*time.Second, 8*time.Second
+		s.Flow.CallTimeout.Duration = 10 * time.Second
+	}
+	header := func() http.Header { return http.Header{"Authorization": {"Bearer " + callerKey}} }
+	for _, nodes := range []int{1, 2} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			f := newFleetWith(t, nodes, describer.ChecksNothing, stopping)
+			node := f.nodes[0]
+			stopped := make(chan error, 1)
+			go func() { stopped <- f.apps[0].Stop(context.Background()) }()
+			f.await("the node to leave", func() bool { return f.send(node, http.MethodGet, "/readyz", "", nil).status != http.StatusOK })
+			key := uuid.Must(uuid.NewV7()).String()
+			got := f.order(node, key, 1)
+			if nodes == 1 && got.status != http.StatusOK {
+				t.Errorf("got %d %+v for an order at the only node, want an answer", got.status, got.problem)
+			}
+			if nodes == 2 {
+				if got.problem.Code != int(refuser.Leaving) || got.problem.Ran != "never" || !slices.Equal(got.problem.Addresses, f.nodes[1:]) {
+					t.Errorf("got %d %+v, want leaving, ran never, the other node's address", got.status, got.problem)
+				}
+				if again := f.order(f.nodes[1], key, 2); again.status != http.StatusOK {
+					t.Errorf("got %d %+v at the other node, want an answer", again.status, again.problem)
+				}
+			}
+			short := header()
+			short.Set("X-Timeout-Seconds", "1")
+			if got := f.send(node, http.MethodPost, "/v1/services/orders/orders", `{"order":"short"}`, short); got.status != http.StatusOK {
+				t.Errorf("got %d %+v for an order that ends in time, want an answer", got.status, got.problem)
+			}
+			if got := f.chat(node); got.status != http.StatusOK {
+				t.Errorf("got %d %+v for a chat, want an answer", got.status, got.problem)
+			}
+			if err := <-stopped; err != nil {
+				t.Errorf("stopping: got %v, want nil", err)
+			}
+			if got := f.executions(key); got != 1 {
+				t.Errorf("got %d executions of the order, want 1", got)
+			}
+		})
+	}
+}
+
 // openStream starts a long streamed answer and returns the rest of it after its
 // first line.
 func (f *fleet) openStream(node string) io.Reader {
--- a/internal/supervisor/forwarder/admit_test.go
+++ b/internal/supervisor/forwarder/admit_test.go
@@ -97,7 +97,7 @@
 		var sent []driver.Forward
 		w := newHarness(t, scriptedRelay(&sent, signedReply(200, "ok")), plainEntries()...)
 		w.f.cfg.Gate = listener.NewGate()
-		w.f.cfg.Gate.StartLeaving()
+		w.f.cfg.Gate.StartLeaving(time.Time{})
 		a := w.send(t.Context(), "GET", pathGet+"1", "r1", "")
 		if got, want := a.Code, 200; got != want {
 			t.Errorf("status: got %d, want %d", got, want)
--- a/internal/supervisor/listener/edge_test.go
+++ b/internal/supervisor/listener/edge_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"banyanquay/internal/counter"
@@ -121,7 +122,7 @@
 
 func TestClosedGateRefusesChatsThatNeverRan(t *testing.T) {
 	e := newTestListener()
-	e.cfg.Gate.StartLeaving()
+	e.cfg.Gate.StartLeaving(time.Time{})
 	if w := e.send("POST", chatPath, chatBody); w.Code != http.StatusOK {
 		t.Errorf("got %d while leaving, want 200", w.Code)
 	}
@@ -203,6 +204,48 @@
 	<-answered
 }
 
+// Guards against a node that takes requests in a planned stop as if it had time without end,
+// and against one that refuses requests that end in time.
+func TestGateKnowsWhatEndsInTime(t *testing.T) {
+	const stop = 8 * time.Second
+	tests := []struct {
+		name string
+		// passed is the time since the stop began; negative if it has not.
+		passed time.Duration
+		// limit is the request's own limit, and longest its route's; 0 means none.
+		limit, longest time.Duration
+		want           bool
+	}{
+		{"before the stop", -1, 0, 0, true},
+		{"without a limit", 0, 0, 0, false},
+		{"with time", 4900 * time.Millisecond, 3 * time.Second, 0, true},
+		{"limit after the deadline", 4900 * time.Millisecond, 4 * time.Second, 0, false},
+		{"route with time", 4900 * time.Millisecond, time.Minute, 3 * time.Second, true},
+		{"route after the deadline", 4900 * time.Millisecond, time.Minute, 4 * time.Second, false},
+		{"limit before the route's", 4900 * time.Millisecond, 3 * time.Second, 10 * time.Second, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewGate()
+				if tt.passed >= 0 {
+					g.StartLeaving(time.Now().Add(stop))
+					time.Sleep(tt.passed)
+				}
+				ctx := t.Context()
+				if tt.limit > 0 {
+					var cancel context.CancelFunc
+					ctx, cancel = context.WithTimeout(ctx, tt.limit)
+					defer cancel()
+				}
+				if got := g.InTime(ctx, tt.longest); got != tt.want {
+					t.Errorf("got %t, want %t", got, tt.want)
+				}
+			})
+		})
+	}
+}
+
 // newRequest returns a request with one header.
 func newRequest(t *testing.T, name, value string) *http.Request {
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, chatPath, nil)
--- a/internal/supervisor/listener/gate.go
+++ b/internal/supervisor/listener/gate.go
@@ -28,6 +28,8 @@
 	pendingRefusals int
 	leaving         bool
 	closed          bool
+	// deadline is when the stop ends; zero while the node isn't leaving.
+	deadline time.Time
 	// idle is closed when the gate is closed and no request or refusal is in
 	// progress.
 	idle chan struct{}
@@ -86,11 +88,26 @@
 	}
 }
 
-// StartLeaving starts the leaving phase, in which requests are still admitted.
-func (g *Gate) StartLeaving() {
+// StartLeaving starts the leaving phase, in which requests are still admitted. The stop ends
+// at the deadline; zero means that it has none.
+func (g *Gate) StartLeaving(deadline time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leaving = true
+	g.deadline = deadline
+}
+
+// InTime reports whether a request that starts now ends before the deadline of a stop, or
+// the node isn't stopping. The request ends by the deadline of ctx or, if longest is greater
+// than 0, within that time.
+func (g *Gate) InTime(ctx context.Context, longest time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.deadline.IsZero() || longest > 0 && !time.Now().Add(longest).After(g.deadline) {
+		return true
+	}
+	end, ok := ctx.Deadline()
+	return ok && !end.After(g.deadline)
 }
 
 // Leaving reports whether the leaving phase has started.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -171,7 +171,8 @@
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.Stop.Deadline.Duration)
 	defer cancel()
 	s.Recorder.Info(recorder.NodeLeaving, zap.String("address", s.Settings.Address))
-	s.Gate.StartLeaving()
+	deadline, _ := ctx.Deadline()
+	s.Gate.StartLeaving(deadline)
 	s.Tracker.Leave()
 	select {
 	case <-time.After(s.Settings.Stop.AddressTTL.Duration):
--- a/internal/supervisor/wiring.go
+++ b/internal/supervisor/wiring.go
@@ -1,6 +1,7 @@
 package supervisor
 
 import (
+	"context"
 	"expvar"
 	"net/http"
 	"time"
@@ -185,7 +186,7 @@
 	})
 }
 
-func newDispatcher(s loader.Settings, a admitters, c *claimer.Claimer, p *runner.Runner, v driver.Service, w *watcher.Watcher, t *retrier.Retrier, g *listener.Gate, r *recorder.Recorder, n *counter.Set) *dispatcher.Dispatcher {
+func newDispatcher(s loader.Settings, a admitters, c *claimer.Claimer, p *runner.Runner, v driver.Service, w *watcher.Watcher, k *tracker.Tracker, t *retrier.Retrier, g *listener.Gate, r *recorder.Recorder, n *counter.Set) *dispatcher.Dispatcher {
 	return dispatcher.New(dispatcher.Config{
 		Admit:     a.chats.Acquire,
 		AdmitCall: a.calls.Acquire,
@@ -200,8 +201,11 @@
 		Succeeded:    t.Succeeded,
 		CallTimeout:  s.Flow.CallTimeout.Duration,
 		UntilStopped: g.Context,
-		Recorder:     r,
-		Counters:     n,
+		InTime: func(ctx context.Context, organisation string, longest time.Duration) bool {
+			return g.InTime(ctx, longest) || len(addresser.Choose(k.Nodes(), organisation, s.Centre, 1)) == 0
+		},
+		Recorder: r,
+		Counters: n,
 	})
 }
 
