Refuse requests that wait when the gate closes

A request that had been let in and waited for admission when a stopping node's gate closed went on waiting, was sent at any later time before the stop's deadline, and was cut at it.

The gate was asked once, before the wait.

One that is admitted in the same moment gives its place back. A request goes on waiting if it ends before the stop's deadline even if it starts then: by its time limit or, a call, by its route's timeout. With the default deadline of 10 minutes that holds for all, and they keep their places. With 8 s, the callers of others have their whole time at another node.

--- a/internal/supervisor/dispatcher/call.go
+++ b/internal/supervisor/dispatcher/call.go
@@ -45,7 +45,7 @@
 	if call.Route.NonIdempotent {
 		return d.callOnce(ctx, call)
 	}
-	grant, err := d.cfg.AdmitCall(ctx, admissionRequest(ctx, call.Organisation, 1))
+	grant, err := d.admit(ctx, d.cfg.AdmitCall, admissionRequest(ctx, call.Organisation, 1), call.Call.Timeout)
 	if err != nil {
 		return Result{}, err
 	}
@@ -95,7 +95,7 @@
 	if !d.callInTime(ctx, call) {
 		return Result{}, proved(d.cfg.Ledger.Refuse(ctx, attempt, stopped()))
 	}
-	grant, err := d.cfg.AdmitCall(ctx, admissionRequest(ctx, call.Organisation, 1))
+	grant, err := d.admit(ctx, d.cfg.AdmitCall, admissionRequest(ctx, call.Organisation, 1), call.Call.Timeout)
 	if err != nil {
 		return Result{}, proved(d.cfg.Ledger.Refuse(ctx, attempt, refusal(err)))
 	}
--- a/internal/supervisor/dispatcher/chat.go
+++ b/internal/supervisor/dispatcher/chat.go
@@ -51,7 +51,7 @@
 
 // chat admits and runs a request.
 func (d *Dispatcher) chat(ctx context.Context, chat Chat, emit runner.Emit) error {
-	grant, err := d.cfg.Admit(ctx, admissionRequest(ctx, chat.Organisation, chat.Tokens-len(chat.Resume)))
+	grant, err := d.admit(ctx, d.cfg.Admit, admissionRequest(ctx, chat.Organisation, chat.Tokens-len(chat.Resume)), 0)
 	if err != nil {
 		return err
 	}
@@ -89,7 +89,7 @@
 	if !d.cfg.InTime(ctx, chat.Organisation.Template.Name, 0) {
 		return proved(d.cfg.Ledger.Refuse(ctx, attempt, stopped()))
 	}
-	grant, err := d.cfg.Admit(ctx, admissionRequest(ctx, chat.Organisation, chat.Tokens-len(chat.Resume)))
+	grant, err := d.admit(ctx, d.cfg.Admit, admissionRequest(ctx, chat.Organisation, chat.Tokens-len(chat.Resume)), 0)
 	if err != nil {
 		return proved(d.cfg.Ledger.Refuse(ctx, attempt, refusal(err)))
 	}
--- a/internal/supervisor/dispatcher/dispatcher.go
+++ b/internal/supervisor/dispatcher/dispatcher.go
@@ -48,9 +48,13 @@
 	// InTime reports whether a request ends before the deadline of a planned stop: by its
 	// context's deadline or, if longest is greater than 0, within that time. It is true, too,
 	// if no other node could serve the organisation; nil means always.
-	InTime   func(ctx context.Context, organisation string, longest time.Duration) bool
-	Recorder *recorder.Recorder
-	Counters *counter.Set
+	InTime func(ctx context.Context, organisation string, longest time.Duration) bool
+	// WhileInTime returns a context that also ends when a planned stop refuses new requests,
+	// unless a request that starts then would end before the stop's deadline; longest is as in
+	// InTime. Nil means that there is no stop.
+	WhileInTime func(ctx context.Context, longest time.Duration) (context.Context, context.CancelFunc)
+	Recorder    *recorder.Recorder
+	Counters    *counter.Set
 }
 
 // Dispatcher runs requests.
@@ -66,6 +70,11 @@
 	if cfg.InTime == nil {
 		cfg.InTime = func(context.Context, string, time.Duration) bool { return true }
 	}
+	if cfg.WhileInTime == nil {
+		cfg.WhileInTime = func(ctx context.Context, _ time.Duration) (context.Context, context.CancelFunc) {
+			return context.WithCancel(ctx)
+		}
+	}
 	return &Dispatcher{cfg: cfg}
 }
 
@@ -112,6 +121,24 @@
 	}
 }
 
+// admitFunc waits until a request may run.
+type admitFunc = func(ctx context.Context, req admitter.Request) (admitter.Grant, error)
+
+// admit waits until a request may run. A request that still waits when a planned stop refuses
+// new ones is refused, too, if it might outlast the stop.
+func (d *Dispatcher) admit(ctx context.Context, wait admitFunc, req admitter.Request, longest time.Duration) (admitter.Grant, error) {
+	waiting, cancel := d.cfg.WhileInTime(ctx, longest)
+	defer cancel()
+	grant, err := wait(waiting, req)
+	if waiting.Err() == nil || ctx.Err() != nil {
+		return grant, err
+	}
+	if err == nil {
+		grant.Release(0)
+	}
+	return admitter.Grant{}, stopped()
+}
+
 // recordTimeout limits how long an answer waits until it is recorded, so that a
 // retry finds it. After that, the append continues in the background.
 const recordTimeout = 500 * time.Millisecond
--- a/internal/supervisor/dispatcher/stop_test.go
+++ b/internal/supervisor/dispatcher/stop_test.go
@@ -30,6 +30,9 @@
 	// expiry ends at the deadline of the stop, by expire.
 	expiry context.Context
 	expire context.CancelFunc
+	// closing ends, by closeGate, when new requests are refused.
+	closing   context.Context
+	closeGate context.CancelFunc
 	// stopLedger ends the ledger's steps, and later reads its log with another ledger.
 	stopLedger func()
 	later      func() *claimer.Claimer
@@ -50,6 +53,7 @@
 		n := &stoppingNode{stopLedger: stopLedger, issued: time.Now()}
 		n.later = func() *claimer.Claimer { return newLedgerOf(ctx, t, log) }
 		n.expiry, n.expire = context.WithCancel(ctx)
+		n.closing, n.closeGate = context.WithCancel(ctx)
 		n.cfg = Config{
 			Admit:            grantAtOnce,
 			AdmitCall:        grantAtOnce,
@@ -61,10 +65,9 @@
 			Retry:            func(retrier.FailedAttempt) (time.Duration, error) { return 0, nil },
 			Succeeded:        func(string, ...string) {},
 			CallTimeout:      time.Minute,
-			UntilStopped: func(ctx context.Context) (context.Context, context.CancelFunc) {
-				ctx, cancel := context.WithCancel(ctx)
-				context.AfterFunc(n.expiry, cancel)
-				return ctx, cancel
+			UntilStopped:     func(ctx context.Context) (context.Context, context.CancelFunc) { return endWith(ctx, n.expiry) },
+			WhileInTime: func(ctx context.Context, _ time.Duration) (context.Context, context.CancelFunc) {
+				return endWith(ctx, n.closing)
 			},
 			Recorder: recorder.Nop(),
 			Counters: counter.New(),
@@ -75,10 +78,23 @@
 	})
 }
 
+// endWith returns a context that also ends when another one does.
+func endWith(ctx, other context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	context.AfterFunc(other, cancel)
+	return ctx, cancel
+}
+
 func grantAtOnce(context.Context, admitter.Request) (admitter.Grant, error) {
 	return admitter.Grant{Release: func(int) {}}, nil
 }
 
+// waitUntilDone waits for admission in vain.
+func waitUntilDone(ctx context.Context, _ admitter.Request) (admitter.Grant, error) {
+	<-ctx.Done()
+	return admitter.Grant{}, refuser.New(refuser.CallerLeft, "left")
+}
+
 // call works until its context ends.
 func (n *stoppingNode) call(ctx context.Context, _ string, call driver.Call) (driver.Answer, error) {
 	n.sent.Add(1)
@@ -287,3 +303,52 @@
 	time.Sleep(2 * time.Second)
 	return grantAtOnce(ctx, r)
 }
+
+// Guards against requests that wait for admission until little of a planned stop's time is
+// left, and are then sent and cut: another node would have had the time. A request that was
+// admitted in the same moment must give its place back.
+func TestClosedGateRefusesRequestsThatWait(t *testing.T) {
+	for _, name := range []string{"call", "query", "chat", "chat that may not be repeated"} {
+		for _, admitted := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, admitted %t", name, admitted), func(t *testing.T) {
+				runStop(t, func(t *testing.T, n *stoppingNode) {
+					sends := map[string]func(context.Context) error{
+						"call": n.order, "query": n.query, "chat": n.chatWith(false), "chat that may not be repeated": n.chatWith(true),
+					}
+					released := 0
+					wait := func(ctx context.Context, r admitter.Request) (admitter.Grant, error) {
+						if !admitted {
+							return waitUntilDone(ctx, r)
+						}
+						<-ctx.Done()
+						return admitter.Grant{Release: func(int) { released++ }}, nil
+					}
+					n.cfg.Admit, n.cfg.AdmitCall = wait, wait
+					ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+					defer cancel()
+					time.AfterFunc(5*time.Second, n.closeGate)
+					began := time.Now()
+					got := refusal(sends[name](ctx))
+					if got.Code != refuser.Leaving || got.Ran != refuser.Never || n.sent.Load() != 0 || time.Since(began) > 5*time.Second+soon {
+						t.Errorf("got %v after %s and %d sent, want %s, ran never in 5 s, none sent", got, time.Since(began), n.sent.Load(), refuser.Leaving)
+					}
+					if admitted && released != 1 {
+						t.Errorf("got the place given back %d times, want once", released)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against a caller that leaves while it waits and is refused as if the node stopped.
+func TestCallersThatLeaveTheQueueAreNoStop(t *testing.T) {
+	runStop(t, func(t *testing.T, n *stoppingNode) {
+		n.cfg.AdmitCall = waitUntilDone
+		ctx, cancel := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, cancel)
+		if got := refusal(n.query(ctx)); got.Code != refuser.CallerLeft {
+			t.Errorf("got %v, want %s", got, refuser.CallerLeft)
+		}
+	})
+}
--- a/internal/supervisor/listener/edge_test.go
+++ b/internal/supervisor/listener/edge_test.go
@@ -246,6 +246,33 @@
 	}
 }
 
+// Guards against requests that wait when the gate closes and go on waiting although they may
+// outlast the stop, and against the end of waits that harm nobody, as with a long deadline.
+func TestClosedGateEndsWaitsOfWhatMayOutlastTheStop(t *testing.T) {
+	const limit = 2 * time.Minute
+	for stop, ends := range map[time.Duration]bool{8 * time.Second: true, 10 * time.Minute: false} {
+		t.Run(stop.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewGate()
+				request, cancel := context.WithTimeout(t.Context(), limit)
+				defer cancel()
+				ctx, release := g.WhileInTime(request, 0)
+				defer release()
+				g.StartLeaving(time.Now().Add(stop))
+				time.Sleep(5 * time.Second)
+				if ctx.Err() != nil {
+					t.Errorf("got %v before the gate closed, want nil", context.Cause(ctx))
+				}
+				g.Close()
+				synctest.Wait()
+				if got := ctx.Err() != nil; got != ends {
+					t.Errorf("got ended %t, want %t", got, ends)
+				}
+			})
+		})
+	}
+}
+
 // newRequest returns a request with one header.
 func newRequest(t *testing.T, name, value string) *http.Request {
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, chatPath, nil)
--- a/internal/supervisor/listener/gate.go
+++ b/internal/supervisor/listener/gate.go
@@ -14,6 +14,9 @@
 // when the time of a planned stop is up.
 var ErrExpired = trace.LimitExceeded("the deadline of the stop has passed")
 
+// errClosed is the cause with which contexts end when the gate closes.
+var errClosed = trace.LimitExceeded("the node is stopping")
+
 // Gate counts the work in progress and stops admitting new work in three phases.
 // While the node is leaving, callers with a cached address are still served;
 // once the gate is closed, all new work is refused; once it has expired, the work in
@@ -33,6 +36,9 @@
 	// idle is closed when the gate is closed and no request or refusal is in
 	// progress.
 	idle chan struct{}
+	// closing ends, by endClosing, when the gate closes.
+	closing    context.Context
+	endClosing context.CancelFunc
 	// expiry ends, by expire, when the gate expires.
 	expiry context.Context
 	expire context.CancelFunc
@@ -41,6 +47,7 @@
 // NewGate returns an open gate.
 func NewGate() *Gate {
 	g := &Gate{idle: make(chan struct{})}
+	g.closing, g.endClosing = context.WithCancel(context.Background())
 	g.expiry, g.expire = context.WithCancel(context.Background())
 	return g
 }
@@ -143,12 +150,29 @@
 	}
 }
 
+// WhileInTime returns a context that also ends when the gate closes, unless the request would
+// end in time even if it started then; see InTime. It is for the waits of a request that has
+// been passed on to no endpoint. The function that it returns releases its resources.
+func (g *Gate) WhileInTime(ctx context.Context, longest time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.closing, func() {
+		if !g.InTime(ctx, longest) {
+			cancel(errClosed)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // Close refuses new work from now on.
 func (g *Gate) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leaving = true
 	g.closed = true
+	g.endClosing()
 	g.signalIdle()
 }
 
--- a/internal/supervisor/wiring.go
+++ b/internal/supervisor/wiring.go
@@ -204,8 +204,9 @@
 		InTime: func(ctx context.Context, organisation string, longest time.Duration) bool {
 			return g.InTime(ctx, longest) || len(addresser.Choose(k.Nodes(), organisation, s.Centre, 1)) == 0
 		},
-		Recorder: r,
-		Counters: n,
+		WhileInTime: g.WhileInTime,
+		Recorder:    r,
+		Counters:    n,
 	})
 }
 
