--- a/internal/supervisor/dispatcher/call.go
+++ b/internal/supervisor/dispatcher/call.go
@@ -45,7 +45,7 @@
 	if call.Route.NonIdempotent {
 		return d.callOnce(ctx, call)
 	}
-	grant, err := d.cfg.AdmitCall(ctx, admissionRequest(ctx, call.Organisation, 1))
+	grant, err := d.admit(ctx, d.cfg.AdmitCall, admissionRequest(ctx, call.Organisation, 1), call.Call.Timeout)
 	if err != nil {
 		return Result{}, err
 	}
@@ -73,6 +73,9 @@
 			d.cfg.Succeeded(org, address)
 			return Result{Answer: answer}, nil
 		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return Result{}, refuser.New(refuser.CallerLeft, "calling %s: %v", address, err).WithRan(refuser.Maybe)
+		}
 		d.cfg.Failed(address)
 		last = refuser.New(refuser.EndpointFailed, "calling %s: %v", address, err).WithRan(refuser.Maybe).WithWait(retryAfter)
 		if ctx.Err() != nil {
@@ -85,10 +88,14 @@
 	return Result{}, last
 }
 
-// callOnce runs a non-idempotent call at most once under its key.
+// callOnce runs a non-idempotent call at most once under its key, unless it might outlast
+// the node's stop.
 func (d *Dispatcher) callOnce(ctx context.Context, call Call) (Result, error) {
 	attempt := d.attempt(call.Organisation, call.Key, call.Route.Checks)
-	grant, err := d.cfg.AdmitCall(ctx, admissionRequest(ctx, call.Organisation, 1))
+	if !d.callInTime(ctx, call) {
+		return Result{}, proved(d.cfg.Ledger.Refuse(ctx, attempt, stopped()))
+	}
+	grant, err := d.admit(ctx, d.cfg.AdmitCall, admissionRequest(ctx, call.Organisation, 1), call.Call.Timeout)
 	if err != nil {
 		return Result{}, proved(d.cfg.Ledger.Refuse(ctx, attempt, refusal(err)))
 	}
@@ -103,16 +110,27 @@
 	return d.dispatch(ctx, call, ticket)
 }
 
+// callInTime reports whether a call that is sent now is answered before the node's stop.
+func (d *Dispatcher) callInTime(ctx context.Context, call Call) bool {
+	return d.cfg.InTime(ctx, call.Organisation.Template.Name, call.Call.Timeout)
+}
+
 // dispatch sends a claimed call. It tries another endpoint only as long as no
 // byte of the call has been written.
 func (d *Dispatcher) dispatch(ctx context.Context, call Call, ticket *claimer.Ticket) (Result, error) {
-	// The call continues when the caller leaves, and its answer is recorded.
-	ctx = context.WithoutCancel(ctx)
+	// The call continues when the caller leaves, and its answer is recorded. At the deadline
+	// of a planned stop it ends, while its outcome can still be recorded.
+	limited := ctx
+	ctx, cancel := d.cfg.UntilStopped(context.WithoutCancel(limited))
+	defer cancel()
 	out := call.Call
 	out.Key, out.Fence = keyAndFence(call, ticket)
 	last := noEndpoint(call.Route.Service)
 	org := call.Organisation.Template.Name
 	for i, address := range d.cfg.ServiceAddresses(org, call.Route.Service) {
+		if !d.callInTime(limited, call) {
+			return Result{}, proved(ticket.Release(ctx, stopped()))
+		}
 		placed := time.Now()
 		answer, err := d.cfg.Services.Once(ctx, address, out)
 		if err == nil && isDuplicate(call.Route, answer) {
@@ -123,11 +141,16 @@
 			d.record(ctx, call.Request, ticket, claimer.Answer(answer))
 			return Result{Answer: answer}, nil
 		}
-		d.cfg.Failed(address)
+		if ctx.Err() == nil {
+			d.cfg.Failed(address)
+		}
 		var unsent *driver.Unsent
 		if !errors.As(err, &unsent) {
 			return Result{}, d.outcomeUnknown(ctx, call, ticket, address, err)
 		}
+		if ctx.Err() != nil {
+			return Result{}, proved(ticket.Release(ctx, stopped()))
+		}
 		last = refuser.New(refuser.EndpointFailed, "the call could not be sent to %s: %v", address, err).WithWait(retryAfter)
 		if _, err := d.cfg.Retry(retrier.FailedAttempt{Organisation: org, Address: address, Reason: retrier.ServiceUnsent, Attempt: i + 1, Placed: placed}); err != nil {
 			break
--- a/internal/supervisor/dispatcher/chat.go
+++ b/internal/supervisor/dispatcher/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -50,7 +51,7 @@
 
 // chat admits and runs a request.
 func (d *Dispatcher) chat(ctx context.Context, chat Chat, emit runner.Emit) error {
-	grant, err := d.cfg.Admit(ctx, admissionRequest(ctx, chat.Organisation, chat.Tokens-len(chat.Resume)))
+	grant, err := d.admit(ctx, d.cfg.Admit, admissionRequest(ctx, chat.Organisation, chat.Tokens-len(chat.Resume)), 0)
 	if err != nil {
 		return err
 	}
@@ -81,10 +82,14 @@
 	return d.cfg.Pipelines.Run(ctx, job, emit)
 }
 
-// chatOnce runs a non-idempotent request at most once under its key.
+// chatOnce runs a non-idempotent request at most once under its key, unless it might outlast
+// the node's stop.
 func (d *Dispatcher) chatOnce(ctx context.Context, chat Chat, emit runner.Emit) error {
 	attempt := d.attempt(chat.Organisation, chat.Key, describer.ChecksNothing)
-	grant, err := d.cfg.Admit(ctx, admissionRequest(ctx, chat.Organisation, chat.Tokens-len(chat.Resume)))
+	if !d.cfg.InTime(ctx, chat.Organisation.Template.Name, 0) {
+		return proved(d.cfg.Ledger.Refuse(ctx, attempt, stopped()))
+	}
+	grant, err := d.admit(ctx, d.cfg.Admit, admissionRequest(ctx, chat.Organisation, chat.Tokens-len(chat.Resume)), 0)
 	if err != nil {
 		return proved(d.cfg.Ledger.Refuse(ctx, attempt, refusal(err)))
 	}
@@ -102,9 +107,15 @@
 
 // runOnce runs a claimed request and records how it ended.
 func (d *Dispatcher) runOnce(ctx context.Context, chat Chat, ticket *claimer.Ticket, emit runner.Emit) error {
-	// The request continues when the caller leaves, and its answer is recorded.
+	// The request continues when the caller leaves, and its answer is recorded. At the
+	// deadline of a planned stop it ends, while its outcome can still be recorded.
 	ctx, cancel := detach(ctx)
 	defer cancel()
+	ctx, release := d.cfg.UntilStopped(ctx)
+	defer release()
+	if errors.Is(ctx.Err(), context.Canceled) || !d.cfg.InTime(ctx, chat.Organisation.Template.Name, 0) {
+		return proved(ticket.Release(ctx, stopped()))
+	}
 	var tokens []string
 	err := d.run(ctx, chat, func(position int, token string) error {
 		tokens = append(tokens, token)
--- a/internal/supervisor/dispatcher/dispatcher.go
+++ b/internal/supervisor/dispatcher/dispatcher.go
@@ -42,6 +42,17 @@
 	// CallTimeout is the timeout of a call to a plain service whose route has
 	// none.
 	CallTimeout time.Duration
+	// UntilStopped returns a context that also ends at the deadline of a planned stop;
+	// nil means that there is no such deadline.
+	UntilStopped func(ctx context.Context) (context.Context, context.CancelFunc)
+	// InTime reports whether a request ends before the deadline of a planned stop: by its
+	// context's deadline or, if longest is greater than 0, within that time. It is true, too,
+	// if no other node could serve the organisation; nil means always.
+	InTime func(ctx context.Context, organisation string, longest time.Duration) bool
+	// WhileInTime returns a context that also ends when a planned stop refuses new requests,
+	// unless a request that starts then would end before the stop's deadline; longest is as in
+	// InTime. Nil means that there is no stop.
+	WhileInTime func(ctx context.Context, longest time.Duration) (context.Context, context.CancelFunc)
 	Recorder    *recorder.Recorder
 	Counters    *counter.Set
 }
@@ -53,6 +64,17 @@
 
 // New returns a dispatcher.
 func New(cfg Config) *Dispatcher {
+	if cfg.UntilStopped == nil {
+		cfg.UntilStopped = context.WithCancel
+	}
+	if cfg.InTime == nil {
+		cfg.InTime = func(context.Context, string, time.Duration) bool { return true }
+	}
+	if cfg.WhileInTime == nil {
+		cfg.WhileInTime = func(ctx context.Context, _ time.Duration) (context.Context, context.CancelFunc) {
+			return context.WithCancel(ctx)
+		}
+	}
 	return &Dispatcher{cfg: cfg}
 }
 
@@ -99,6 +121,24 @@
 	}
 }
 
+// admitFunc waits until a request may run.
+type admitFunc = func(ctx context.Context, req admitter.Request) (admitter.Grant, error)
+
+// admit waits until a request may run. A request that still waits when a planned stop refuses
+// new ones is refused, too, if it might outlast the stop.
+func (d *Dispatcher) admit(ctx context.Context, wait admitFunc, req admitter.Request, longest time.Duration) (admitter.Grant, error) {
+	waiting, cancel := d.cfg.WhileInTime(ctx, longest)
+	defer cancel()
+	grant, err := wait(waiting, req)
+	if waiting.Err() == nil || ctx.Err() != nil {
+		return grant, err
+	}
+	if err == nil {
+		grant.Release(0)
+	}
+	return admitter.Grant{}, stopped()
+}
+
 // recordTimeout limits how long an answer waits until it is recorded, so that a
 // retry finds it. After that, the append continues in the background.
 const recordTimeout = 500 * time.Millisecond
@@ -123,6 +163,15 @@
 	return refuser.New(refuser.InternalError, "%v", err).WithRan(refuser.Maybe)
 }
 
+// stopped returns the refusal of a request that was sent to no endpoint before the node's
+// stop.
+func stopped() refuser.Refusal {
+	return refuser.New(refuser.Leaving, "the node is stopping, and has not sent the request to an endpoint").WithWait(leavingRetryDelay)
+}
+
+// leavingRetryDelay is when to retry at another node.
+const leavingRetryDelay = time.Second
+
 // proved marks a refusal whose Ran holds for every attempt according to the ledger.
 func proved(r refuser.Refusal) error {
 	return r.WithProof()
--- a/internal/supervisor/listener/gate.go
+++ b/internal/supervisor/listener/gate.go
@@ -14,7 +14,7 @@
 // when the time of a planned stop is up.
 var ErrExpired = trace.LimitExceeded("the deadline of the stop has passed")
 
-// errClosed is the cause with which the contexts of UntilClosed end.
+// errClosed is the cause with which contexts end when the gate closes.
 var errClosed = trace.LimitExceeded("the node is stopping")
 
 // Gate counts the work in progress and stops admitting new work in three phases.
@@ -31,6 +31,8 @@
 	pendingRefusals int
 	leaving         bool
 	closed          bool
+	// deadline is when the stop ends; zero while the node isn't leaving.
+	deadline time.Time
 	// idle is closed when the gate is closed and no request or refusal is in
 	// progress.
 	idle chan struct{}
@@ -93,11 +95,26 @@
 	}
 }
 
-// StartLeaving starts the leaving phase, in which requests are still admitted.
-func (g *Gate) StartLeaving() {
+// StartLeaving starts the leaving phase, in which requests are still admitted. The stop ends
+// at the deadline; zero means that it has none.
+func (g *Gate) StartLeaving(deadline time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.leaving = true
+	g.deadline = deadline
+}
+
+// InTime reports whether a request that starts now ends before the deadline of a stop, or
+// the node isn't stopping. The request ends by the deadline of ctx or, if longest is greater
+// than 0, within that time.
+func (g *Gate) InTime(ctx context.Context, longest time.Duration) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.deadline.IsZero() || longest > 0 && !time.Now().Add(longest).After(g.deadline) {
+		return true
+	}
+	end, ok := ctx.Deadline()
+	return ok && !end.After(g.deadline)
 }
 
 // Leaving reports whether the leaving phase has started.
@@ -145,6 +162,22 @@
 	}
 }
 
+// WhileInTime returns a context that also ends when the gate closes, unless the request would
+// end in time even if it started then; see InTime. It is for the waits of a request that has
+// been passed on to no endpoint. The function that it returns releases its resources.
+func (g *Gate) WhileInTime(ctx context.Context, longest time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(g.closing, func() {
+		if !g.InTime(ctx, longest) {
+			cancel(errClosed)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // Close refuses new work from now on.
 func (g *Gate) Close() {
 	g.mu.Lock()
