Answer what is in progress at the deadline of a stop

Cause: the stop closed all connections at its deadline. Nothing told the requests in progress, not even those that had no head of an answer yet, or whose body was still being read.

Change: at its deadline the stop ends the contexts of the requests in progress and waits up to 0.2 s for their answers, which with the 0.1 s of the servers is within the margin of 0.7 s. The forwarder answers with 503 if nothing was sent, with an endpoint's failure that was kept, else with 502 (7001, it may have run). A stream that has begun is broken off as before, with 7001 in its log line. A body that is still being read is interrupted by a read deadline. Expiry is told from a caller's leaving by the cause of the context. Calls that a node makes for others end with a message to the other node.

--- a/cmd/banyanquayd/platform_test.go
+++ b/cmd/banyanquayd/platform_test.go
@@ -99,13 +99,19 @@
 }
 
 func (f *fleet) startNode(t *testing.T, n int) *fx.App {
+	return f.startNodeWith(t, n, func(*supervisor.RelayConfig) {})
+}
+
+// startNodeWith is startNode with another configuration.
+func (f *fleet) startNodeWith(t *testing.T, n int, change func(cfg *supervisor.RelayConfig)) *fx.App {
 	settings := f.settings(n)
-	p := newPlatform(settings, counter.New())
-	p.Relay = f.partitions[n].wrap(p.Relay)
-	app := supervisor.NewRelay(supervisor.RelayConfig{
+	cfg := supervisor.RelayConfig{
 		Settings: settings, Logger: zap.NewNop(), Counters: counter.New(), Latencies: counter.NewLatencies(),
-		Platform: p,
-	})
+		Platform: newPlatform(settings, counter.New()),
+	}
+	cfg.Platform.Relay = f.partitions[n].wrap(cfg.Platform.Relay)
+	change(&cfg)
+	app := supervisor.NewRelay(cfg)
 	if err := app.Start(t.Context()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/supervisor/detourer/detourer.go
+++ b/internal/supervisor/detourer/detourer.go
@@ -46,9 +46,10 @@
 	// PausedSince reports whether this process was paused after the given time. A connection
 	// that doesn't open in time then says nothing; nil means that it never is.
 	PausedSince func(since time.Time) bool
-	// Enter admits a call of another node, and reports whether this one makes it. The
-	// returned function is called when the call has ended.
-	Enter    func() (leave func(), ok bool)
+	// Enter admits a call of another node, and reports whether this one makes it. The call
+	// is made with the returned context, and the returned function is called when it has
+	// ended.
+	Enter    func(ctx context.Context) (bound context.Context, leave func(), ok bool)
 	Now      func() time.Time
 	Recorder *recorder.Recorder
 	Counters *counter.Set
--- a/internal/supervisor/detourer/detourer_test.go
+++ b/internal/supervisor/detourer/detourer_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strings"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -316,3 +317,31 @@
 		})
 	}
 }
+
+// Guards against calls for other nodes that end with a dead link at the deadline of a stop: the
+// other node gets a message, and the request may have run.
+func TestCallsForOthersAtTheStopsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld("a", "b")
+		w.cut(w.refused, "a", true, endpoints...)
+		deadline, expire := context.WithCancel(t.Context())
+		w.nodes["b"].cfg.Enter = func(ctx context.Context) (context.Context, func(), bool) {
+			ctx, cancel := context.WithCancel(ctx)
+			context.AfterFunc(deadline, cancel)
+			return ctx, cancel, true
+		}
+		w.answer = func(ctx context.Context) (driver.Reply, error) {
+			<-ctx.Done()
+			return driver.Reply{}, errors.New("given up by the node")
+		}
+		time.AfterFunc(time.Second, expire)
+		began := time.Now()
+		_, _, err := w.send(t.Context(), "a", "r")
+		if err == nil || isUnsent(err) || !strings.Contains(err.Error(), "given up by the node") {
+			t.Errorf("got error %v, want the failure of the call, which may have run", err)
+		}
+		if got, want := time.Since(began), 1100*time.Millisecond; got > want {
+			t.Errorf("ended after %v, want at most %v", got, want)
+		}
+	})
+}
--- a/internal/supervisor/detourer/server.go
+++ b/internal/supervisor/detourer/server.go
@@ -30,7 +30,7 @@
 		reply(message{Failure: unable(err.Error())})
 		return
 	}
-	leave, ok := d.cfg.Enter()
+	ctx, leave, ok := d.cfg.Enter(ctx)
 	defer leave()
 	switch {
 	case !ok:
--- a/internal/supervisor/detourer/world_test.go
+++ b/internal/supervisor/detourer/world_test.go
@@ -52,7 +52,7 @@
 				return slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == name })
 			},
 			Endpoints: func() []string { return slices.Clone(endpoints) },
-			Enter:     func() (func(), bool) { return func() {}, true },
+			Enter:     func(ctx context.Context) (context.Context, func(), bool) { return ctx, func() {}, true },
 			Now:       time.Now, Recorder: recorder.Nop(), Counters: counter.New(),
 		})
 	}
--- a/internal/supervisor/forwarder/connections_test.go
+++ b/internal/supervisor/forwarder/connections_test.go
@@ -62,7 +62,7 @@
 		d := detourer.New(detourer.Config{
 			Direct: fl.direct(i), Open: fl.open, Peers: func() []string { return fl.peers(i) }, Endpoints: fl.addresses,
 			PausedSince: func(since time.Time) bool { return h.f.PausedSince(since) },
-			Enter:       func() (func(), bool) { return func() {}, true },
+			Enter:       func(ctx context.Context) (context.Context, func(), bool) { return ctx, func() {}, true },
 			Now:         time.Now, Recorder: recorder.Nop(), Counters: counter.New(),
 		})
 		h = newHarness(t, d.Relay(), fl.entries...)
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -260,8 +260,11 @@
 // ServeHTTP serves a caller's request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.cfg.Now()
-	unsent, release := f.cfg.Gate.UntilClosed(r.Context())
+	ctx, release := f.cfg.Gate.Context(r.Context())
 	defer release()
+	r = r.WithContext(ctx)
+	unsent, releaseUnsent := f.cfg.Gate.UntilClosed(ctx)
+	defer releaseUnsent()
 	c := &call{w: w, r: r, unsent: unsent, Request: Request{Arrived: arrived}, tried: make(map[string]bool)}
 	defer f.answerPanic(c)
 	f.serve(c)
@@ -376,9 +379,15 @@
 		}
 		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limits.BodyBytes)
 	}
+	// A body that is still being sent must not hold up the answer at the end of a stop. Setting the
+	// deadline fails only if there is no connection any more.
+	stop := context.AfterFunc(c.r.Context(), func() { _ = http.NewResponseController(c.w).SetReadDeadline(time.Now()) })
 	req, err := f.cfg.Decode(c.r, c.Arrived)
+	stop()
 	var large *http.MaxBytesError
-	switch {
+	switch r, ended := f.interruption(c); {
+	case err != nil && ended && c.r.Context().Err() != nil:
+		return r
 	case errors.As(err, &large):
 		return refuser.New(refuser.BodyTooLarge, "the limit is %d bytes", limits.BodyBytes)
 	case errors.Is(err, io.ErrUnexpectedEOF):
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -77,7 +77,7 @@
 		}
 		path, err := f.paidPath(c, s)
 		if r, ended := f.interruption(c); ended {
-			f.refuse(c, r)
+			f.failGeneration(c, s, r)
 			return
 		}
 		if err != nil {
@@ -91,7 +91,7 @@
 		}
 		lastErr = err
 		if r, ended := f.interruption(c); ended {
-			f.refuse(c, r)
+			f.failGeneration(c, s, r)
 			return
 		}
 		if !f.mayRetryGeneration(c, s, err) {
@@ -104,7 +104,7 @@
 // failGeneration answers a generation that can't continue: with the failure reply
 // of an engine, if there is one and nothing has been written, else with a refusal.
 func (f *Forwarder) failGeneration(c *call, s *session, r refuser.Refusal) {
-	if c.answered || c.failure == nil {
+	if c.answered || c.failure == nil || r.Code == refuser.CallerLeft {
 		f.refuse(c, r)
 		return
 	}
@@ -250,6 +250,7 @@
 func (f *Forwarder) attemptBroken(ctx context.Context, c *call, s *session, broken brokenAttempt) {
 	cause := context.Cause(ctx)
 	if c.r.Context().Err() != nil {
+		c.countInterrupted(broken.err)
 		return
 	}
 	first := s.snapshot().first()
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -321,8 +321,9 @@
 
 // finish answers the caller with the outcome, or with a refusal.
 func (f *Forwarder) finish(c *call, o outcome, endpoint registrar.Entry) {
-	if r, ended := f.interruption(c); ended {
-		f.refuse(c, r)
+	interruption, ended := f.interruption(c)
+	if ended && interruption.Code == refuser.CallerLeft {
+		f.refuse(c, interruption)
 		return
 	}
 	if c.sends > 0 && o.deliverable() {
@@ -337,6 +338,10 @@
 		f.recordAnswer(c, o.reply.Status, endpoint.ID)
 		return
 	}
+	if ended {
+		f.refuse(c, interruption)
+		return
+	}
 	f.refuse(c, f.plainRefusal(c, o))
 }
 
--- a/internal/supervisor/forwarder/stop_test.go
+++ b/internal/supervisor/forwarder/stop_test.go
@@ -1,8 +1,11 @@
 package forwarder
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -181,3 +184,163 @@
 		})
 	}
 }
+
+// hang is an endpoint that works on a request until the node gives up.
+func hang(ctx context.Context) (driver.Reply, error) {
+	<-ctx.Done()
+	return driver.Reply{}, ctx.Err()
+}
+
+// hangingBody is an answer of which a part has arrived.
+type hangingBody struct {
+	io.Reader
+	ctx context.Context
+}
+
+func (b hangingBody) Read(buf []byte) (int, error) {
+	if n, err := b.Reader.Read(buf); err == nil {
+		return n, nil
+	}
+	<-b.ctx.Done()
+	return 0, b.ctx.Err()
+}
+
+func (hangingBody) Close() error { return nil }
+
+// Guards against requests in progress at the deadline of a stop that are closed without an answer,
+// or logged as given up by their callers, and against a part of a stream that looks complete.
+func TestRequestsInProgressAtTheStopsDeadline(t *testing.T) {
+	cases := []struct {
+		name string
+		r    *http.Request
+		// sends are the endpoint's replies to the request's sends, the last one from then on.
+		sends   []func(ctx context.Context) (driver.Reply, error)
+		status  int
+		ran     string
+		aborted bool
+	}{
+		{"a request that may not be repeated", caller("POST", pathPut+"1", "", "x"), []func(context.Context) (driver.Reply, error){hang}, 502, "maybe", false},
+		{"a lookup", caller("GET", pathGet+"1", "", ""), []func(context.Context) (driver.Reply, error){hang}, 502, "maybe", false},
+		{"an answer of which a part has arrived", caller("POST", pathPut+"1", "", "x"), []func(context.Context) (driver.Reply, error){func(ctx context.Context) (driver.Reply, error) {
+			return driver.Reply{Status: 200, Signed: true, Header: http.Header{}, Body: hangingBody{strings.NewReader("par"), ctx}}, nil
+		}}, 502, "maybe", false},
+		{"a connection that isn't there yet", caller("POST", pathPut+"1", "", "x"), []func(context.Context) (driver.Reply, error){func(ctx context.Context) (driver.Reply, error) {
+			<-ctx.Done()
+			return driver.Reply{}, &driver.Unsent{Err: ctx.Err()}
+		}}, 503, "never", false},
+		{"a second attempt after a failure", caller("GET", pathGet+"1", "", ""), []func(context.Context) (driver.Reply, error){func(context.Context) (driver.Reply, error) {
+			return signedReply(500, "failed")(driver.Forward{})
+		}, hang}, 500, "", false},
+		{"a second attempt after a refusal", caller("GET", pathGet+"1", "", ""), []func(context.Context) (driver.Reply, error){func(context.Context) (driver.Reply, error) {
+			return unsignedReply(503, true)(driver.Forward{})
+		}, func(ctx context.Context) (driver.Reply, error) {
+			<-ctx.Done()
+			return driver.Reply{}, &driver.Unsent{Err: ctx.Err()}
+		}}, 503, "never", false},
+		{"a generation without an event", caller("POST", pathLLM+"1", "", "800,200"), []func(context.Context) (driver.Reply, error){hang}, 502, "maybe", false},
+		{"a generation whose engine has accepted it", caller("POST", pathLLM+"1", "", "800,200"), []func(context.Context) (driver.Reply, error){func(ctx context.Context) (driver.Reply, error) {
+			return driver.Reply{Status: 200, Signed: true, Header: http.Header{}, Body: hangingBody{strings.NewReader(""), ctx}}, nil
+		}}, 502, "maybe", false},
+		{"a second attempt of a generation after a failure", caller("POST", pathLLM+"1", "", "800,200"), []func(context.Context) (driver.Reply, error){func(context.Context) (driver.Reply, error) {
+			return signedReply(500, "failed")(driver.Forward{})
+		}, hang}, 500, "", false},
+		{"a stream in progress", caller("POST", pathLLM+"1", "", "800,200"), []func(context.Context) (driver.Reply, error){func(ctx context.Context) (driver.Reply, error) {
+			return driver.Reply{Status: 200, Signed: true, Header: http.Header{}, Body: hangingBody{strings.NewReader("id: 1\ndata: x\n\n"), ctx}}, nil
+		}}, 200, "", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				sends := 0
+				w := newHarness(t, driver.Relay{Probe: acceptConnections, Send: func(ctx context.Context, _ string, _ driver.Forward) (driver.Reply, error) {
+					sends++
+					return c.sends[min(sends, len(c.sends))-1](ctx)
+				}}, append(plainEntries(), wholeEngines()...)...)
+				const deadline = 100 * time.Millisecond
+				began := time.Now()
+				time.AfterFunc(deadline, w.f.cfg.Gate.Expire)
+				a := w.serve(c.r)
+				if got := time.Since(began); got < deadline || got > deadline+50*time.Millisecond {
+					t.Errorf("ended after %v, want %v", got, deadline)
+				}
+				if a.aborted != c.aborted || a.Code != c.status {
+					t.Errorf("answer: got %d (aborted: %v), want %d (%v): %s", a.Code, a.aborted, c.status, c.aborted, a.Body)
+				}
+				if c.ran != "" && !strings.Contains(a.Body.String(), `"ran":"`+c.ran+`"`) {
+					t.Errorf("answer: got %s, want %q", a.Body, c.ran)
+				}
+				if got := w.counters.Refusals.Get("caller_left"); got != nil {
+					t.Errorf("requests counted as given up by their callers: got %v, want none", got)
+				}
+				if c.ran != "" || c.aborted {
+					if got := w.counters.Refusals.Get("leaving"); got == nil {
+						t.Error("the request isn't counted as ended by the stop")
+					}
+				}
+				if sends != len(c.sends) {
+					t.Errorf("sends: got %d, want %d", sends, len(c.sends))
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
+// Guards against a caller that has left being taken for one whose request the stop ended.
+func TestCallersThatLeaveDuringAStop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newHarness(t, driver.Relay{Probe: acceptConnections, Send: func(ctx context.Context, _ string, _ driver.Forward) (driver.Reply, error) {
+			return hang(ctx)
+		}}, plainEntries()...)
+		ctx, leave := context.WithCancel(t.Context())
+		time.AfterFunc(50*time.Millisecond, func() {
+			leave()
+			w.f.cfg.Gate.Expire()
+		})
+		if a := w.send(ctx, "POST", pathPut+"1", "r", "x"); !a.aborted || w.counters.Refusals.Get("caller_left") == nil {
+			t.Errorf("got %d (aborted: %v), %v, want a closed connection that is counted as caller_left", a.Code, a.aborted, w.counters.Refusals)
+		}
+	})
+}
+
+// Guards against a body that is still being sent at the deadline of a stop: reading it blocked
+// until the connection was closed without an answer.
+func TestBodyThatIsSentAtTheStopsDeadline(t *testing.T) {
+	for _, head := range []string{"Content-Length: 10\r\n\r\n12345", "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n"} {
+		var sent []driver.Forward
+		w := newHarness(t, scriptedRelay(&sent, signedReply(200, "ok")), plainEntries()...)
+		reading := make(chan struct{})
+		w.f.cfg.Decode = func(r *http.Request, arrived time.Time) (Request, error) {
+			close(reading)
+			if _, err := io.ReadAll(r.Body); err != nil {
+				return Request{}, err
+			}
+			return decode(r, arrived)
+		}
+		server := httptest.NewServer(w.f)
+		conn, err := net.Dial("tcp", server.Listener.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := fmt.Fprintf(conn, "POST %s1 HTTP/1.1\r\nHost: %s\r\nID: r\r\nKey: %s\r\n%s", pathPut, host, secret, head); err != nil {
+			t.Fatal(err)
+		}
+		<-reading
+		w.f.cfg.Gate.Expire()
+		_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatalf("%q: got error %v, want an answer", head, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || !resp.Close || !strings.Contains(string(body), `"ran":"never"`) {
+			t.Errorf("%q: got %d (close: %v) %s, %v, want 503 that says that it didn't run", head, resp.StatusCode, resp.Close, body, err)
+		}
+		resp.Body.Close()
+		conn.Close()
+		server.Close()
+		if len(sent) > 0 {
+			t.Errorf("%q: the request was sent", head)
+		}
+	}
+}
--- a/internal/supervisor/parts.go
+++ b/internal/supervisor/parts.go
@@ -54,10 +54,15 @@
 	return all
 }
 
-// enterDetour admits a call that this node makes for another one, unless it is stopping.
-func (r *relayNode) enterDetour() (leave func(), ok bool) {
-	leave, err := r.gate.Acquire()
-	return leave, err == nil && !r.gate.Leaving()
+// enterDetour admits a call that this node makes for another one, unless it is stopping. The
+// context that it returns ends at the deadline of a stop.
+func (r *relayNode) enterDetour(ctx context.Context) (bound context.Context, leave func(), ok bool) {
+	release, err := r.gate.Acquire()
+	bound, stop := r.gate.Context(ctx)
+	return bound, func() {
+		stop()
+		release()
+	}, err == nil && !r.gate.Leaving()
 }
 
 // composeBroadcaster creates the exchange of what the nodes know of endpoints.
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -27,6 +27,11 @@
 // stop.
 const stopMargin = 10 * time.Second
 
+// expiryTimeout is how long a stop waits, from its deadline on, until the requests in progress
+// have been told that their time is up. With the time in which the servers close it is less than
+// killMargin.
+const expiryTimeout = 200 * time.Millisecond
+
 // Config holds the settings and dependencies of a daemon.
 type Config struct {
 	Settings loader.Settings
@@ -166,7 +171,7 @@
 
 // leave takes the node out of service. Callers that have cached its address are
 // served until the TTL of addresses has passed; then new work is refused and the
-// work in progress is finished, within the stop deadline.
+// work in progress is finished, within the stop deadline. What isn't by then is told so.
 func (s superviseParams) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.Stop.Deadline.Duration)
 	defer cancel()
@@ -180,5 +185,9 @@
 	s.Gate.Close()
 	if n := s.Gate.Wait(ctx); n > 0 {
 		s.Recorder.Error(recorder.StopDeadlineExceeded, zap.Int("requests", n))
+		s.Gate.Expire()
+		answering, done := context.WithTimeout(context.WithoutCancel(ctx), expiryTimeout)
+		defer done()
+		s.Gate.Wait(answering)
 	}
 }
