Admit requests for three eighths of a stop at most

Callers would see: with the default stop.address_ttl of 5 s and a deadline of 7.3 s, a request that comes 4.9 s after SIGTERM is taken and has 2.4 s. On the users' platform (2.5 s of 7.3 s) nothing changes.

Cause: requests were admitted for all of stop.address_ttl, whatever the deadline.

Evidence: TestAdmissionPeriod, with the TTL alone as the period: "TTL 5s, deadline 8s: got 5s, want 3s".

Change: the period is the TTL, at most 3/8 of the deadline, for nodes of both kinds.

Tried and left out: refusing at once, while the node leaves, a request that may not be repeated and whose time ends after the deadline. TestIdleConnectionsOfAStoppingNode failed in each of six runs with it ("kept-4-159: got 503, want 200"): bookings that are answered in milliseconds have a limit of 20 s, so nearly all were refused.

--- a/internal/supervisor/stop_test.go
+++ b/internal/supervisor/stop_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"testing"
+	"time"
 
+	"banyanquay/internal/loader"
 	"banyanquay/internal/supervisor/listener"
 )
 
@@ -30,3 +32,18 @@
 		t.Error("a call is admitted after the stop")
 	}
 }
+
+// Guards against requests that are admitted so late in a stop that its end cuts them off.
+func TestAdmissionPeriod(t *testing.T) {
+	cases := []struct{ ttl, deadline, want time.Duration }{
+		{5 * time.Second, 10 * time.Minute, 5 * time.Second},
+		{5 * time.Second, 8 * time.Second, 3 * time.Second},
+		{2500 * time.Millisecond, 7300 * time.Millisecond, 2500 * time.Millisecond},
+	}
+	for _, c := range cases {
+		s := loader.Stop{AddressTTL: loader.Duration{Duration: c.ttl}, Deadline: loader.Duration{Duration: c.deadline}}
+		if got := admissionPeriod(s); got != c.want {
+			t.Errorf("TTL %v, deadline %v: got %v, want %v", c.ttl, c.deadline, got, c.want)
+		}
+	}
+}
--- a/internal/supervisor/supervisor.go
+++ b/internal/supervisor/supervisor.go
@@ -32,6 +32,15 @@
 // killMargin.
 const expiryTimeout = 200 * time.Millisecond
 
+// admissionShare is the share of a stop in which requests are admitted at most. It is the 3 s of
+// 8 s within which the end of the stop may cut off a request that was sent then.
+const admissionShare = 3.0 / 8
+
+// admissionPeriod is how long a stopping node admits requests.
+func admissionPeriod(s loader.Stop) time.Duration {
+	return min(s.AddressTTL.Duration, time.Duration(admissionShare*float64(s.Deadline.Duration)))
+}
+
 // Config holds the settings and dependencies of a daemon.
 type Config struct {
 	Settings loader.Settings
@@ -170,8 +179,8 @@
 }
 
 // leave takes the node out of service. Callers that have cached its address are
-// served until the TTL of addresses has passed; then new work is refused and the
-// work in progress is finished, within the stop deadline. What isn't by then is told so.
+// served for admissionPeriod; then new work is refused and the work in progress is
+// finished, within the stop deadline. What isn't by then is told so.
 func (s superviseParams) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.Settings.Stop.Deadline.Duration)
 	defer cancel()
@@ -179,7 +188,7 @@
 	s.Gate.StartLeaving()
 	s.Tracker.Leave()
 	select {
-	case <-time.After(s.Settings.Stop.AddressTTL.Duration):
+	case <-time.After(admissionPeriod(s.Settings.Stop)):
 	case <-ctx.Done():
 	}
 	s.Gate.Close()
