Check the heads of the log's and the list's answers

Callers saw, in the product's own mode: a failure of the platform, written after an answer that was cut off within its head, counted as an append that succeeded, at offset 0, as a page without records and as a list without VMs. Cause: checks heads in driver.Transport, and the client of the platform's log and list has a transport of its own. Evidence: without the change, TestSecondAnswerWithinAHead (provider) fails in each of its three cases, for cuts within the reason phrase and within values. Change: the client uses driver.Transport.

--- a/internal/provider/client.go
+++ b/internal/provider/client.go
@@ -12,6 +12,7 @@
 	"github.com/gravitational/trace"
 
 	"banyanquay/internal/bounder"
+	"banyanquay/internal/driver"
 	"banyanquay/internal/encoder"
 )
 
@@ -38,11 +39,11 @@
 // New returns a client of the platform.
 func New(cfg Config) *Client {
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Transport: &http.Transport{
+		cfg.HTTP = &http.Client{Transport: driver.Transport{Transport: &http.Transport{
 			MaxResponseHeaderBytes: maxHeadBytes,
 			MaxIdleConnsPerHost:    16,
 			IdleConnTimeout:        30 * time.Second,
-		}}
+		}}}
 	}
 	return &Client{cfg: cfg}
 }
--- /dev/null
+++ b/internal/provider/client_test.go
@@ -0,0 +1,63 @@
+package provider
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// answerOnce serves one connection: it reads a request, writes the text and closes. It returns
+// the base URL.
+func answerOnce(t *testing.T, text string) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = conn.Write([]byte(text))
+		}
+	}()
+	return "http://" + ln.Addr().String()
+}
+
+// Guards against an answer of the platform that is cut off within its head and followed by a
+// failure, and that is taken for an append that succeeded, a page without records or an empty
+// list.
+func TestSecondAnswerWithinAHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Long: a\r\n b\r\n\r\n"
+	const second = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 22\r\n\r\n{\"reason\":\"not ready\"}"
+	calls := map[string]func(ctx context.Context, c *Client) error{
+		"append": func(ctx context.Context, c *Client) error {
+			_, err := c.Log().Append(ctx, "s", []byte("x"))
+			return err
+		},
+		"read": func(ctx context.Context, c *Client) error {
+			_, err := c.Log().Read(ctx, "s", 0, 0)
+			return err
+		},
+		"list": func(ctx context.Context, c *Client) error {
+			_, err := c.List().VMs(ctx)
+			return err
+		},
+	}
+	for name, call := range calls {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			for n := 1; n < len(head)-1; n++ {
+				if err := call(t.Context(), New(Config{URL: answerOnce(t, head[:n]+second)})); err == nil {
+					t.Errorf("second answer after %q: got success, want an error", head[:n])
+				}
+			}
+		})
+	}
+}
