Reject a body that begins with the head of another answer

If the first answer was cut off right behind its head, the second one fills its length, or all of it is the body where there is no length. Change: a body that begins with the start of a status line is an error after the request was sent: 502, an unknown outcome, or another endpoint if the request may be repeated. A second answer further within a body isn't told from one that quotes a status line; it is listed as open.

--- a/internal/driver/cut_test.go
+++ b/internal/driver/cut_test.go
@@ -90,6 +90,21 @@
 	}
 }
 
+// Guards against a second answer that comes in place of the body of the first one, and that is
+// taken for that body and recorded.
+func TestSecondAnswerAfterAHead(t *testing.T) {
+	const second = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 5\r\n\r\nerror"
+	calls := cutCalls(t)
+	for _, framing := range []string{"Content-Length: 14\r\n", "Connection: close\r\n"} {
+		for _, way := range []string{"do", "once"} {
+			p := newPeer(t, &peer{status: answerOK, answer: always("HTTP/1.1 200 OK\r\n" + framing + "\r\n" + second + hangUp)})
+			if err := calls[way](p.address); err == nil || isUnsent(err) {
+				t.Errorf("%s, %q: got %v, want an error that doesn't say that the call was not sent", way, framing, err)
+			}
+		}
+	}
+}
+
 // Guards against a service's 101 that is taken for the answer to a call, and recorded as such.
 func TestInterimStatusIsNoAnswer(t *testing.T) {
 	const text = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n{}" + hangUp
--- a/internal/driver/head.go
+++ b/internal/driver/head.go
@@ -7,8 +7,11 @@
 	"github.com/gravitational/trace"
 )
 
-// statusLine matches the start of an answer's head.
-var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
+// statusLine matches the start of an answer's head, and headInBody that of a body that is one.
+var (
+	statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
+	headInBody = regexp.MustCompile(`^` + statusLine.String())
+)
 
 // Transport is an http.Transport that fails for a head that has the start of another one.
 type Transport struct {
@@ -44,3 +47,12 @@
 	}
 	return nil
 }
+
+// CheckBody checks that a body doesn't begin with the head of another answer, which an endpoint
+// that fails behind an answer's head may write in place of its body.
+func CheckBody(body []byte) error {
+	if headInBody.Match(body) {
+		return trace.BadParameter("the body %.40q begins with the head of another answer", body)
+	}
+	return nil
+}
--- a/internal/driver/service.go
+++ b/internal/driver/service.go
@@ -126,5 +126,8 @@
 	if err != nil {
 		return Answer{}, trace.ConnectionProblem(err, "reading the answer from %s", address)
 	}
+	if err := CheckBody(body); err != nil {
+		return Answer{}, trace.Wrap(err, "reading the answer from %s", address)
+	}
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
 }
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -308,6 +308,9 @@
 	f.learnLimits(e.ID, e.Born, reply, began)
 	body, release, err := f.buffers.ReadAll(reply.Body, maxAnswerBytes)
 	c.releases = append(c.releases, release)
+	if err == nil {
+		err = driver.CheckBody(body)
+	}
 	return outcome{reply: reply, body: body, err: err, notRun: reply.NotRun}
 }
 
