Record outcomes that come while the ledger stops

An order that the end of a planned stop cut left its key held: a retry at another node waited for ledger.wait and got 409, in progress, instead of the truth that its outcome is unknown.

When the node's steps end, the ledger appended what was queued at that moment and stopped. The handlers end in the same moment: in a run with two nodes the ledger's last append began 7 ms before the outcome was queued.

A partition now counts its live claims and, when it stops, appends until the last of them has been ended, for at most the 2 s that the last append had already. A node without live claims stops as fast as before. Claims that come meanwhile are still refused, not appended.

With the code before, done, unknown and released leave the phase held in the claimer's test. TestEndOfStopAnswersAndRecords stops a node with an order and a stream in progress and a deadline of 1 s.

--- a/internal/supervisor/claimer/begin.go
+++ b/internal/supervisor/claimer/begin.go
@@ -100,11 +100,19 @@
 func (p *partition) submitClaim(ctx context.Context, a reducer.Attempt, plan reducer.Plan) (*Ticket, bool, error) {
 	e := p.claimEntry(a, plan)
 	p.cfg.Counters.Ledger.Add("claims", 1)
+	p.live.Add(1)
+	granted := false
+	defer func() {
+		if !granted {
+			p.endClaim()
+		}
+	}()
 	it := p.queue.put(e)
 	verdict, fence, code := p.awaitVerdict(ctx, a, it)
 	p.cfg.Counters.Ledger.Add("claims_"+verdict.String(), 1)
 	switch verdict {
 	case reducer.Granted:
+		granted = true
 		return &Ticket{p: p, attempt: a, claim: e, fence: fence}, false, nil
 	case reducer.Beaten:
 		return nil, true, nil
--- a/internal/supervisor/claimer/commit.go
+++ b/internal/supervisor/claimer/commit.go
@@ -15,7 +15,7 @@
 	// quickFailureThreshold is the time within which an append must fail to be
 	// retried at once.
 	quickFailureThreshold = 500 * time.Millisecond
-	// flushTimeout bounds the last append when the node stops.
+	// flushTimeout bounds the last appends when the node stops, and the wait for them.
 	flushTimeout = 2 * time.Second
 )
 
@@ -39,18 +39,39 @@
 	}
 }
 
-// flush appends the queued entries when the node stops, except claims.
+// flush appends the queued entries when the node stops, except claims. It waits for the
+// entries that end the node's live claims, as requests end in the same moment; without them,
+// retries of these keys would wait for an end that never comes.
 func (p *partition) flush(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), flushTimeout)
 	defer cancel()
-	for _, it := range p.queue.takeClaims() {
-		it.finish(unsent)
-	}
-	for p.queue.hasItems() && p.appendBatch(ctx) == nil {
-		continue
+	for {
+		live := p.live.Load()
+		for _, it := range p.queue.takeClaims() {
+			it.finish(unsent)
+		}
+		for p.queue.hasItems() {
+			if p.appendBatch(ctx) != nil {
+				return
+			}
+		}
+		if live == 0 {
+			return
+		}
+		select {
+		case <-p.queue.ready:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
+// endClaim counts a claim as ended, after the entry that ends it has been queued.
+func (p *partition) endClaim() {
+	p.live.Add(-1)
+	p.queue.notify()
+}
+
 // appendBatch appends one batch. While the log is known to be unreachable, it
 // also appends an empty batch if the queue is empty, to probe the log.
 func (p *partition) appendBatch(ctx context.Context) error {
--- a/internal/supervisor/claimer/outage_test.go
+++ b/internal/supervisor/claimer/outage_test.go
@@ -1,6 +1,7 @@
 package claimer
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -251,3 +252,64 @@
 		}
 	})
 }
+
+// Guards against outcomes that are lost since a request ended just after its node's ledger
+// had been told to stop: the key stayed held.
+func TestOutcomesAreRecordedWhileTheNodeStops(t *testing.T) {
+	answer := Answer{Status: 200, Body: []byte("x")}
+	tests := []struct {
+		name string
+		end  func(t *testing.T, ticket *Ticket)
+		want reducer.Phase
+	}{
+		{"done", func(t *testing.T, ticket *Ticket) {
+			ctx, cancel := context.WithTimeout(t.Context(), second)
+			defer cancel()
+			_ = ticket.Done(ctx, answer)
+		}, reducer.Finished},
+		{"unknown", func(t *testing.T, ticket *Ticket) { ticket.Unknown(t.Context()) }, reducer.Lost},
+		{"released", func(t *testing.T, ticket *Ticket) {
+			_ = ticket.Release(t.Context(), refuser.New(refuser.Leaving, "stop"))
+		}, reducer.Free},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newFakeLog()
+				a, b := start(t, l, "a"), start(t, l, "b")
+				synctest.Wait()
+				ticket := begin(t, a, attempt("k", 1))
+				began := time.Now()
+				stopped := make(chan time.Duration, 1)
+				go func() {
+					a.stop()
+					stopped <- time.Since(began)
+				}()
+				time.Sleep(flushTimeout / 4)
+				tt.end(t, ticket)
+				if took := <-stopped; took >= flushTimeout {
+					t.Errorf("got a stop of %s, want its end with the last outcome", took)
+				}
+				time.Sleep(second)
+				if got, _ := b.Lookup("o", "k"); got.Phase != tt.want {
+					t.Errorf("got phase %s at another node, want %s", got.Phase, tt.want)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a node that stops later than its claims' outcomes are waited for.
+func TestStopWaitsForOutcomesForALimitedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newFakeLog()
+		a := start(t, l, "a")
+		synctest.Wait()
+		begin(t, a, attempt("k", 1))
+		began := time.Now()
+		a.stop()
+		if took := time.Since(began); took > flushTimeout {
+			t.Errorf("got a stop of %s, want at most %s", took, flushTimeout)
+		}
+	})
+}
--- a/internal/supervisor/claimer/partition.go
+++ b/internal/supervisor/claimer/partition.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cenkalti/backoff/v5"
@@ -34,6 +35,8 @@
 	stream string
 	queue  queue
 	health health
+	// live counts the claims of this node that an entry is still to end.
+	live atomic.Int64
 
 	// positioned is set once the offset to start from is known. Only the
 	// goroutine that follows the stream uses it.
--- a/internal/supervisor/claimer/ticket.go
+++ b/internal/supervisor/claimer/ticket.go
@@ -42,18 +42,21 @@
 func (t *Ticket) Unknown(context.Context) {
 	t.p.cfg.Counters.Ledger.Add("unknown", 1)
 	t.p.queue.put(endEntry(t.claim, reducer.Unknown))
+	t.p.endClaim()
 }
 
 // Release ends the claim of an attempt that provably was not dispatched, and
 // returns the refusal, to which it adds whether the key's attempts ran.
 func (t *Ticket) Release(ctx context.Context, r refuser.Refusal) refuser.Refusal {
 	t.p.cfg.Counters.Ledger.Add("released", 1)
+	defer t.p.endClaim()
 	return t.p.abandonClaim(ctx, t.attempt, t.claim, r)
 }
 
 // appendEnd appends an entry that ends the claim.
 func (t *Ticket) appendEnd(ctx context.Context, e reducer.Entry) error {
 	it := t.p.queue.put(e)
+	t.p.endClaim()
 	select {
 	case <-it.done:
 		return nil
--- a/internal/supervisor/edge_test.go
+++ b/internal/supervisor/edge_test.go
@@ -16,6 +16,8 @@
 	"banyanquay/internal/describer"
 	"banyanquay/internal/loader"
 	"banyanquay/internal/refuser"
+	"banyanquay/internal/standin/booker"
+	"banyanquay/internal/standin/generator"
 )
 
 func TestMetricsAreForOperators(t *testing.T) {
@@ -116,6 +118,53 @@
 	}
 }
 
+// Guards against an order and a stream that the end of a planned stop cuts: the order without
+// an answer and with a key that stays held, so that its retry waits for it, and the stream
+// without a reason.
+func TestEndOfStopAnswersAndRecords(t *testing.T) {
+	const deadline = time.Second
+	f := newFleetWith(t, 2, describer.ChecksNothing, func(s *loader.Settings) {
+		s.Stop.Deadline.Duration = deadline
+		s.Flow.CallTimeout.Duration = 30 * time.Second
+	})
+	f.service.Control().Update(func(s booker.Switches) booker.Switches {
+		s.DelayMillis = 10_000
+		return s
+	})
+	for _, g := range f.engines {
+		g.Control().Update(func(s generator.Switches) generator.Switches {
+			s.SlowFactor = 300
+			return s
+		})
+	}
+	key := uuid.Must(uuid.NewV7()).String()
+	ordered := make(chan reply, 1)
+	go func() { ordered <- f.order(f.nodes[0], key, 1) }()
+	stream := f.openStream(f.nodes[0])
+	time.Sleep(200 * time.Millisecond)
+	began := time.Now()
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.apps[0].Stop(context.Background()) }()
+	got := <-ordered
+	if got.problem.Code != int(refuser.OutcomeUnknown) || got.problem.Ran != "maybe" || len(got.problem.Addresses) != 1 {
+		t.Errorf("got %d %+v after %s, want outcome_unknown, ran maybe, an address", got.status, got.problem, time.Since(began))
+	}
+	rest, err := io.ReadAll(stream)
+	if last := string(rest[max(0, len(rest)-600):]); err != nil || !strings.Contains(last, "event: error\ndata: ") || !strings.Contains(last, "leaving") {
+		t.Errorf("got %v and an end %q, want an error event", err, last)
+	}
+	if took := time.Since(began); took > deadline+time.Second {
+		t.Errorf("answered %s after the signal, want at most a second after the deadline", took)
+	}
+	if err := <-stopped; err != nil {
+		t.Errorf("stopping: got %v, want nil", err)
+	}
+	again := time.Now()
+	if got := f.order(f.nodes[1], key, 2); got.problem.Code != int(refuser.OutcomeUnknown) || time.Since(again) > time.Second {
+		t.Errorf("got %d %+v after %s for the retry, want outcome_unknown at once", got.status, got.problem, time.Since(again))
+	}
+}
+
 // openStream starts a long streamed answer and returns the rest of it after its
 // first line.
 func (f *fleet) openStream(node string) io.Reader {
