Close connections with every answer during a stop

Callers would see: a request that came before SIGTERM is answered during the stop with a connection that stays open, and the next request on it meets the closed gate or crosses the end of the node.

Cause: Connection: close was set when a request came, not when it was answered.

Evidence: TestAnswersDuringAStopCloseConnections failed before for answers, streams and failures ("got 200 with Connection "", want 200 with "close"").

Change: the header is set where an answer's head is written.

Result: the test passes with -race, TestIdleConnectionsOfAStoppingNode too.

--- a/internal/supervisor/forwarder/admit_test.go
+++ b/internal/supervisor/forwarder/admit_test.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -108,6 +109,38 @@
 	})
 }
 
+// Guards against kept connections on which callers send their next requests to a node that
+// stops: the answers to requests that came before the stop left them open.
+func TestAnswersDuringAStopCloseConnections(t *testing.T) {
+	cases := []struct {
+		name, path string
+		script     script
+		status     int
+	}{
+		{"a plain answer", pathGet, signedReply(200, "ok"), 200},
+		{"a stream", pathLLM, signedReply(200, "id: 1\ndata: x\n\n"), 200},
+		{"an endpoint's failure", pathPut, signedReply(500, "failed"), 500},
+		{"an engine's failure", pathLLM, signedReply(500, "failed"), 500},
+		{"a refusal", pathPut, brokenConnection, 502},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newHarness(t, driver.Relay{Probe: acceptConnections, Send: func(_ context.Context, _ string, f driver.Forward) (driver.Reply, error) {
+					time.Sleep(100 * time.Millisecond)
+					return c.script(f)
+				}}, append(plainEntries(), wholeEngines()...)...)
+				time.AfterFunc(50*time.Millisecond, w.f.cfg.Gate.StartLeaving)
+				a := w.send(t.Context(), "POST", c.path+"1", "r", "800,200")
+				if got, want := a.Header().Get("Connection"), "close"; a.Code != c.status || got != want {
+					t.Errorf("got %d with Connection %q, want %d with %q", a.Code, got, c.status, want)
+				}
+				time.Sleep(10 * time.Second)
+			})
+		})
+	}
+}
+
 // All nodes restart at once, and their callers return before any has read the store. A
 // refusal would send them to other nodes that aren't ready, either, until their retries
 // are used up: they wait for the fraction of a second that it takes.
--- a/internal/supervisor/forwarder/answer.go
+++ b/internal/supervisor/forwarder/answer.go
@@ -31,9 +31,7 @@
 		f.cfg.Recorder.Error(recorder.RefusalNotEncoded, zap.Error(err))
 	}
 	header := c.w.Header()
-	if f.cfg.Gate.Leaving() {
-		header.Set("Connection", "close")
-	}
+	f.closeIfLeaving(header)
 	header.Set("Content-Type", refuser.ContentType)
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	if r.Wait > 0 {
@@ -110,8 +108,15 @@
 	return code
 }
 
+// closeIfLeaving asks the caller to close its connection while this node is leaving.
+func (f *Forwarder) closeIfLeaving(header http.Header) {
+	if f.cfg.Gate.Leaving() {
+		header.Set("Connection", "close")
+	}
+}
+
 // copyHeader copies the headers of an endpoint's reply to the caller's response.
-func (c *call) copyHeader(reply driver.Reply) {
+func (f *Forwarder) copyHeader(c *call, reply driver.Reply) {
 	header := c.w.Header()
 	for name, values := range reply.Header {
 		header[name] = values
@@ -120,6 +125,7 @@
 	if _, ok := reply.Header["Content-Type"]; !ok {
 		header["Content-Type"] = nil
 	}
+	f.closeIfLeaving(header)
 }
 
 // recordRefusal counts and logs a refusal.
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -275,9 +275,6 @@
 	w := c.w
 	leave, err := f.cfg.Gate.Acquire()
 	defer leave()
-	if f.cfg.Gate.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	if err == nil {
 		f.awaitReady(c.unsent)
 		err = f.admit(c)
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -108,7 +108,7 @@
 		f.refuse(c, r)
 		return
 	}
-	c.copyHeader(c.failure.reply)
+	f.copyHeader(c, c.failure.reply)
 	c.w.Header().Set("Content-Length", strconv.Itoa(len(c.failure.body)))
 	c.w.WriteHeader(c.failure.reply.Status)
 	c.answered, c.status, c.firstWrite = true, c.failure.reply.Status, f.cfg.Now()
@@ -375,7 +375,7 @@
 
 // writeHead writes the head of a stream's answer.
 func (c *call) writeHead(f *Forwarder, s *session, reply driver.Reply) {
-	c.copyHeader(reply)
+	f.copyHeader(c, reply)
 	c.w.WriteHeader(reply.Status)
 	c.answered, c.status, c.firstWrite = true, reply.Status, f.cfg.Now()
 	s.version = reply.Version
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -327,7 +327,7 @@
 		return
 	}
 	if c.sends > 0 && o.deliverable() {
-		c.copyHeader(o.reply)
+		f.copyHeader(c, o.reply)
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(o.body)))
 		c.w.WriteHeader(o.reply.Status)
 		c.answered = true
