Refuse requests that reached no endpoint when the gate closes

Cause: the check before a send asked whether the request had been sent, which counts sends that ended before a byte was written.

Change: it asks whether an endpoint may have got the request, as the retry budget does.

Evidence: TestUnsentRequestsAreRefusedWhenTheGateCloses failed before for both kinds of requests with "got 200, want 503" and two sends, and passes now.

--- a/internal/supervisor/forwarder/stop.go
+++ b/internal/supervisor/forwarder/stop.go
@@ -12,8 +12,8 @@
 )
 
 // interruption returns the refusal of a request that can't go on, whatever its endpoints
-// do, and whether there is one: its caller has left, the gate has closed before it was sent,
-// or the stop's deadline has passed.
+// do, and whether there is one: its caller has left, the gate has closed before it was sent to
+// an endpoint, or the stop's deadline has passed.
 func (f *Forwarder) interruption(c *call) (r refuser.Refusal, ok bool) {
 	switch {
 	case c.expired():
@@ -24,7 +24,7 @@
 		return r.WithWait(otherNodeDelay), true
 	case c.r.Context().Err() != nil:
 		return c.callerLeft(), true
-	case c.sends == 0 && f.cfg.Gate.Closed():
+	case !c.arrived && f.cfg.Gate.Closed():
 		// Little of the stop's time may be left for the answer, and another node has all of it.
 		return refuser.New(refuser.Leaving, "the node is stopping").WithWait(otherNodeDelay), true
 	}
@@ -47,7 +47,7 @@
 // waitContext returns the context of a request's waits: until the request was sent, it also
 // ends when the gate closes.
 func (c *call) waitContext() context.Context {
-	if c.sends > 0 {
+	if c.arrived {
 		return c.r.Context()
 	}
 	return c.unsent
--- a/internal/supervisor/forwarder/stop_test.go
+++ b/internal/supervisor/forwarder/stop_test.go
@@ -185,6 +185,30 @@
 	}
 }
 
+// Guards against requests that reached no endpoint, since none took a connection, and are sent
+// to another one when the gate has closed.
+func TestUnsentRequestsAreRefusedWhenTheGateCloses(t *testing.T) {
+	for _, r := range []*http.Request{caller("POST", pathPut+"1", "", "x"), caller("GET", pathGet+"1", "", "x")} {
+		t.Run(r.Method, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var sent []driver.Forward
+				relay := scriptedRelay(&sent, unreachable, signedReply(200, "ok"))
+				send := relay.Send
+				relay.Send = func(ctx context.Context, address string, f driver.Forward) (driver.Reply, error) {
+					time.Sleep(100 * time.Millisecond)
+					return send(ctx, address, f)
+				}
+				w := newHarness(t, relay, plainEntries()...)
+				time.AfterFunc(50*time.Millisecond, w.f.cfg.Gate.Close)
+				checkRefused(t, w.serve(r))
+				if got, want := len(sent), 1; got != want {
+					t.Errorf("sends: got %d, want %d", got, want)
+				}
+			})
+		})
+	}
+}
+
 // hang is an endpoint that works on a request until the node gives up.
 func hang(ctx context.Context) (driver.Reply, error) {
 	<-ctx.Done()
