End waits at once that begin at a closed gate

Callers would see, without relay.enabled: a request that comes to wait for admission just as the gate of a stopping node has closed gets a free place, is sent and may be cut at the deadline of the stop.

Cause: the function that ends the wait ran in a goroutine of its own, so that the context looked alive for a moment.

Change: contexts of a gate that has closed or expired end before they are returned.

Evidence: TestWaitsAtAClosedGateEndAtOnce failed before ("got ended false, want true") and passes now, under the race detector, too.

--- a/internal/supervisor/listener/edge_test.go
+++ b/internal/supervisor/listener/edge_test.go
@@ -273,6 +273,26 @@
 	}
 }
 
+// Guards against requests that come to wait just as the gate has closed, and are admitted since
+// their context has not ended yet.
+func TestWaitsAtAClosedGateEndAtOnce(t *testing.T) {
+	g := NewGate()
+	g.StartLeaving(time.Now().Add(time.Second))
+	g.Close()
+	for _, longest := range []time.Duration{0, time.Millisecond} {
+		ctx, release := g.WhileInTime(t.Context(), longest)
+		if got, want := ctx.Err() != nil, longest == 0; got != want {
+			t.Errorf("at most %v: got ended %t, want %t", longest, got, want)
+		}
+		release()
+	}
+	ctx, release := g.UntilClosed(t.Context())
+	defer release()
+	if ctx.Err() == nil {
+		t.Error("until closed: got a context that goes on")
+	}
+}
+
 // newRequest returns a request with one header.
 func newRequest(t *testing.T, name, value string) *http.Request {
 	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, chatPath, nil)
--- a/internal/supervisor/listener/gate.go
+++ b/internal/supervisor/listener/gate.go
@@ -142,40 +142,44 @@
 // Context returns a context that also ends when the gate expires, with the cause
 // ErrExpired. The function that it returns releases its resources.
 func (g *Gate) Context(ctx context.Context) (context.Context, context.CancelFunc) {
-	return endWith(ctx, g.expiry, ErrExpired)
+	return endWith(ctx, g.expiry, ErrExpired, always)
 }
 
 // UntilClosed returns a context that also ends when the gate closes, for the waits of a
 // request that has been passed on to no endpoint. The function that it returns releases its
 // resources.
 func (g *Gate) UntilClosed(ctx context.Context) (context.Context, context.CancelFunc) {
-	return endWith(ctx, g.closing, errClosed)
+	return endWith(ctx, g.closing, errClosed, always)
 }
 
-// endWith returns a context that also ends, with a cause, when another one does.
-func endWith(ctx, other context.Context, cause error) (context.Context, context.CancelFunc) {
+// endWith returns a context that also ends, with a cause, when another one does: at once if
+// that has ended, and only if the condition holds then.
+func endWith(ctx, other context.Context, cause error, condition func(ctx context.Context) bool) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(other, func() { cancel(cause) })
+	end := func() {
+		if condition(ctx) {
+			cancel(cause)
+		}
+	}
+	if other.Err() != nil {
+		end()
+		return ctx, func() { cancel(nil) }
+	}
+	stop := context.AfterFunc(other, end)
 	return ctx, func() {
 		stop()
 		cancel(nil)
 	}
 }
 
+// always is the condition of contexts that end whatever the request's time is.
+func always(context.Context) bool { return true }
+
 // WhileInTime returns a context that also ends when the gate closes, unless the request would
 // end in time even if it started then; see InTime. It is for the waits of a request that has
 // been passed on to no endpoint. The function that it returns releases its resources.
 func (g *Gate) WhileInTime(ctx context.Context, longest time.Duration) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(g.closing, func() {
-		if !g.InTime(ctx, longest) {
-			cancel(errClosed)
-		}
-	})
-	return ctx, func() {
-		stop()
-		cancel(nil)
-	}
+	return endWith(ctx, g.closing, errClosed, func(ctx context.Context) bool { return !g.InTime(ctx, longest) })
 }
 
 // Close refuses new work from now on.
