Handle SIGTERM from before the start on

Callers would see: a node that gets SIGTERM just after it has begun to listen ends at once; requests that it has read get no answer.

Cause: fx handles signals from Wait on, which came after Start; until then SIGTERM has its default action.

Change: Wait is called before Start, so that a node that is told to stop while it starts is taken out of service in order.

--- a/cmd/banyanquayd/hangup_test.go
+++ b/cmd/banyanquayd/hangup_test.go
@@ -1,25 +1,69 @@
 package main
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"go.uber.org/fx"
 )
 
-// daemonVariable makes the test binary run the daemon instead of the tests.
-const daemonVariable = "BANYANQUAY_TEST_RUNS_DAEMON"
+// daemonVariable makes the test binary run the daemon instead of the tests, and
+// stoppedStartVariable an application that gets SIGTERM while it starts.
+const (
+	daemonVariable       = "BANYANQUAY_TEST_RUNS_DAEMON"
+	stoppedStartVariable = "BANYANQUAY_TEST_STOPS_AT_START"
+)
 
 func TestMain(m *testing.M) {
 	if os.Getenv(daemonVariable) != "" {
 		main()
 	}
+	if os.Getenv(stoppedStartVariable) != "" {
+		os.Exit(serve(fx.New(fx.NopLogger, fx.Invoke(stopAtStart))))
+	}
 	os.Exit(m.Run())
 }
 
+// stoppedText is what an application prints that is stopped in order.
+const stoppedText = "stopped in order"
+
+// stopAtStart sends SIGTERM to this process while its application starts.
+func stopAtStart(lc fx.Lifecycle) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+				return err
+			}
+			// The signal's default action needs a moment to end the process.
+			time.Sleep(100 * time.Millisecond)
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			_, err := fmt.Println(stoppedText)
+			return err
+		},
+	})
+}
+
+// Guards against a process that SIGTERM ends because it is still starting: it may have accepted
+// requests already, and doesn't take itself out of service.
+func TestTerminationDuringTheStart(t *testing.T) {
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), stoppedStartVariable+"=1")
+	out, err := cmd.Output()
+	if err != nil || !strings.Contains(string(out), stoppedText) {
+		t.Errorf("got %q, %v, want a process that stops in order", out, err)
+	}
+}
+
 // Guards against a process that SIGHUP ends because it is still starting: it reads its
 // settings from a pipe here, so that the signal arrives just then.
 func TestHangupDuringTheStart(t *testing.T) {
--- a/cmd/banyanquayd/main.go
+++ b/cmd/banyanquayd/main.go
@@ -89,13 +89,15 @@
 
 // serve runs the daemon until a signal or a failure and returns the exit code.
 func serve(app *fx.App) int {
+	// SIGTERM is handled from here on: the node may accept requests before it has started.
+	stopped := app.Wait()
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
 	if err := app.Start(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
-	code := (<-app.Wait()).ExitCode
+	code := (<-stopped).ExitCode
 	stopCtx, stop := context.WithTimeout(context.Background(), app.StopTimeout())
 	defer stop()
 	if err := app.Stop(stopCtx); err != nil {
