--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -5,8 +5,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -365,37 +363,6 @@
 	return nil
 }
 
-// readRequest decodes the request within the configured limits.
-func (f *Forwarder) readRequest(c *call, limits mapper.Limits) error {
-	if limits.HeaderBytes > 0 && listener.HeaderBytes(c.r) > limits.HeaderBytes {
-		return refuser.New(refuser.HeaderTooLarge, "the limit is %d bytes", limits.HeaderBytes)
-	}
-	if limits.BodyBytes > 0 {
-		if c.r.ContentLength > limits.BodyBytes {
-			return refuser.New(refuser.BodyTooLarge, "the limit is %d bytes", limits.BodyBytes)
-		}
-		c.r.Body = http.MaxBytesReader(c.w, c.r.Body, limits.BodyBytes)
-	}
-	// A body that is still being sent must not hold up the answer at the end of a stop. Setting the
-	// deadline fails only if there is no connection any more.
-	stop := context.AfterFunc(c.r.Context(), func() { _ = http.NewResponseController(c.w).SetReadDeadline(time.Now()) })
-	req, err := f.cfg.Decode(c.r, c.Arrived)
-	stop()
-	var large *http.MaxBytesError
-	switch r, ended := f.interruption(c); {
-	case err != nil && ended && c.r.Context().Err() != nil:
-		return r
-	case errors.As(err, &large):
-		return refuser.New(refuser.BodyTooLarge, "the limit is %d bytes", limits.BodyBytes)
-	case errors.Is(err, io.ErrUnexpectedEOF):
-		return refuser.New(refuser.CallerLeft, "%v", err)
-	case err != nil:
-		return refuser.New(refuser.BadRequest, "%v", err)
-	}
-	c.Request, c.neededTokens, c.lastEventID = req, req.estimatedTokens(), req.LastEventID
-	return nil
-}
-
 // forward returns the request as it is sent to an endpoint.
 func (f *Forwarder) forward(c *call, endpoint string) driver.Forward {
 	left, _ := c.remaining(f.cfg.Now(), c.route.Timeout)
