--- a/cmd/banyanquayd/stop_test.go
+++ b/cmd/banyanquayd/stop_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -24,6 +23,9 @@
 	conn net.Conn
 }
 
+// rawTokens is the number of tokens that raw requests ask for: a stream of them outlasts the test.
+const rawTokens = 20000
+
 // rawRequest writes the head and the beginning of a request.
 func (f *fleet) rawRequest(t *testing.T, node int, path, name, rest string) rawCall {
 	t.Helper()
@@ -34,8 +36,10 @@
 	t.Cleanup(func() { conn.Close() })
 	_ = conn.SetReadDeadline(time.Now().Add(waitTimeout))
 	c := rawCall{t: t, name: name, conn: conn}
-	c.write(fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nAuthorization: Bearer %s\r\nX-Deadline-Ms: 20000\r\n%s",
-		path, imitator.Host, name, imitator.Key, rest))
+	if err := (imitator.Caller{Key: imitator.Key}).WriteStart(conn, http.MethodPost, path, name, rawTokens); err != nil {
+		t.Fatal(err)
+	}
+	c.write(rest)
 	return c
 }
 
@@ -101,7 +105,7 @@
 	const begun = "Content-Length: 10\r\n\r\n12345"
 	late, unfinished := f.rawRequest(t, node, "/book/1", "late", begun), f.rawRequest(t, node, "/book/1", "unfinished", begun)
 	outlasting := f.rawRequest(t, node, "/book/slow", "outlasting", "Content-Length: 1\r\n\r\nx")
-	stream := f.rawRequest(t, node, "/stream/1", "stream", "X-Token-Usage: 800,20000\r\nContent-Length: 0\r\n\r\n")
+	stream := f.rawRequest(t, node, "/stream/1", "stream", "Content-Length: 0\r\n\r\n")
 	select {
 	case <-arrived:
 	case <-time.After(waitTimeout):
