--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -84,8 +84,7 @@
 }
 
 // sendRequest sends one request, on which an endpoint works for some time, and records its
-// outcome. Requests go on after the
-// callers have stopped, so that each has an outcome.
+// outcome. Requests go on after the callers have stopped, so that each has an outcome.
 func (r *run) sendRequest(c imitator.Caller, id string, kind auditor.Kind, work time.Duration) {
 	c.OnEnd = func(e imitator.Exchange) { r.auditor.RecordExchange(auditor.Exchange{Kind: kind, Exchange: e}) }
 	result := auditor.Request{ID: id, Kind: kind, Key: c.Key, Sent: time.Now()}
--- a/internal/supervisor/listener/gate.go
+++ b/internal/supervisor/listener/gate.go
@@ -152,8 +152,8 @@
 	return endWith(ctx, g.closing, errClosed, always)
 }
 
-// endWith returns a context that also ends, with a cause, when another one does: at once if
-// that has ended, and only if the condition holds then.
+// endWith returns a context that also ends, with a cause, when another one does and the
+// condition holds then. If the other one has ended already, it ends before endWith returns.
 func endWith(ctx, other context.Context, cause error, condition func(ctx context.Context) bool) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	end := func() {
@@ -172,7 +172,7 @@
 	}
 }
 
-// always is the condition of contexts that end whatever the request's time is.
+// always is the condition of contexts that end regardless of the time that a request has left.
 func always(context.Context) bool { return true }
 
 // WhileInTime returns a context that also ends when the gate closes, unless the request would
