--- a/internal/driver/peer_test.go
+++ b/internal/driver/peer_test.go
@@ -45,7 +45,8 @@
 // newPeer starts a peer that is stopped at the end of the test.
 func newPeer(t *testing.T, p *peer) *peer {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	// Tests of other packages dial ports of 127.0.0.1 at which nothing listens.
+	listener, err := net.Listen("tcp", "127.0.0.2:0")
 	if err != nil {
 		t.Fatalf("listening: %v", err)
 	}
--- a/internal/provider/client_test.go
+++ b/internal/provider/client_test.go
@@ -12,7 +12,8 @@
 // the base URL.
 func answerOnce(t *testing.T, text string) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	// Tests of other packages dial ports of 127.0.0.1 at which nothing listens.
+	ln, err := net.Listen("tcp", "127.0.0.4:0")
 	if err != nil {
 		t.Fatal(err)
 	}
