Read the store by standbys while no reader has current data

A standby read the store only once its own data was 2.55 s old, and stopped then, as its reads had made the data new; so that it read every 2.5 s. The other nodes asked the readers, which had nothing new, and two random nodes, and waited 1 s after answers without news. The class: a condition that the action itself ends, taken for the end of its reason.

Now a node queries the readers and then the standbys of its data centre until it has current data, and a standby reads the store while none of those before it answers with a current confirmation, and for 3 s after. Asking random nodes doesn't delay the next round any more. No message changes.

--- a/internal/supervisor/nodes.go
+++ b/internal/supervisor/nodes.go
@@ -25,12 +25,19 @@
 const standbysPerCentre = 2
 
 // isStandby reports whether this node is among those that read the store themselves while
-// the readers have nothing new.
+// the nodes before them have nothing new.
 func (r *relayNode) isStandby() bool {
 	first := r.centreReaders(r.cfg.Settings.Centre, 1+standbysPerCentre)
 	return len(first) == 0 || slices.Contains(first, r.cfg.Settings.Address)
 }
 
+// standbys returns the standbys of this node's data centre in the order in which they replace
+// its reader.
+func (r *relayNode) standbys() []string {
+	first := r.centreReaders(r.cfg.Settings.Centre, 1+standbysPerCentre)
+	return first[min(1, len(first)):]
+}
+
 // readers returns the nodes that read the store: first the reader of the own data
 // centre, then those of up to maxRemoteReaders others.
 func (r *relayNode) readers() []string {
--- a/internal/supervisor/relay.go
+++ b/internal/supervisor/relay.go
@@ -183,7 +183,7 @@
 		QuarantineTopic:     p.QuarantineTopic,
 		HandleQuarantine:    func(items []provider.Item) { r.quarantiner.HandleRecords(items) },
 		DecodeConfiguration: p.DecodeConfiguration, DecodeEntry: p.DecodeEntry, Now: r.clock.Now,
-		Starting: r.starting, IsReader: r.isReader, IsStandby: r.isStandby, Readers: r.readers, Peers: r.peers,
+		Starting: r.starting, IsReader: r.isReader, IsStandby: r.isStandby, Readers: r.readers, Standbys: r.standbys, Peers: r.peers,
 		Query: func(ctx context.Context, address string, query []byte) ([]byte, error) {
 			return r.linker.Query(ctx, address, linker.Store, query)
 		},
--- a/internal/supervisor/syncer/outage_test.go
+++ b/internal/supervisor/syncer/outage_test.go
@@ -18,8 +18,8 @@
 }
 
 // newOutageFleet starts a fleet whose first node of each data centre is its reader and whose
-// next two are its standbys.
-func newOutageFleet(t *testing.T, nodes int) *outageFleet {
+// next two are its standbys. prepare, if set, changes each node before it starts.
+func newOutageFleet(t *testing.T, nodes int, prepare func(n int, s *Syncer)) *outageFleet {
 	const centres = 3
 	fl := &outageFleet{store: newStore()}
 	fl.store.put(configTopic, configKey, "1")
@@ -38,6 +38,9 @@
 		s.cfg.Readers = func() []string {
 			return []string{readers[n%centres], readers[(n+1)%centres], readers[(n+2)%centres]}
 		}
+		s.cfg.Standbys = func() []string {
+			return []string{fmt.Sprint(n%centres + centres), fmt.Sprint(n%centres + 2*centres)}
+		}
 		s.cfg.Peers = func() []string {
 			var others []string
 			for _, i := range rand.Perm(nodes) {
@@ -47,6 +50,9 @@
 			}
 			return others
 		}
+		if prepare != nil {
+			prepare(n, s)
+		}
 		peers[s.cfg.Address] = s
 		fl.all = append(fl.all, s)
 	}
@@ -69,7 +75,7 @@
 	for _, k := range kinds {
 		t.Run(k.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fl := newOutageFleet(t, 143)
+				fl := newOutageFleet(t, 143, nil)
 				time.Sleep(5 * time.Second)
 				fl.store.set(func() { k.set(fl.store, true); fl.store.calls = 0 })
 				time.Sleep(6 * time.Second)
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -28,6 +28,10 @@
 	// otherwise read it. Data that is updated in time never gets that old.
 	configurationAgeThreshold = 2*configurationWait + queryInterval + 400*time.Millisecond
 	tableAgeThreshold         = pollInterval + queryInterval + 250*time.Millisecond
+	// currentConfigurationAge and currentTableAge are the ages up to which data is that of a node that
+	// reads the store: those of its last reads when the next ones are about to end.
+	currentConfigurationAge = 2*configurationWait + 300*time.Millisecond
+	currentTableAge         = pollInterval + 300*time.Millisecond
 	// peerTimeout bounds a query to a node, and maxPeersQueried the nodes queried at
 	// once.
 	peerTimeout     = 400 * time.Millisecond
@@ -146,36 +150,65 @@
 // copy, of which a node that knows nothing yet sees no sign.
 func (s *Syncer) followPeers(ctx context.Context) error {
 	asked := false
+	var nextPeers time.Time
 	for grouper.Sleep(ctx, peerCheckInterval) {
-		if !s.cfg.IsReader() {
+		if !s.cfg.IsReader() || s.stale() {
 			s.queryReaders(ctx)
-		} else if !asked && len(s.cfg.Peers()) > 0 {
-			asked = true
-			s.queryPeers(ctx)
 		}
-		if s.stale() && !s.queryPeers(ctx) {
-			grouper.Sleep(ctx, peerRetryDelay)
+		first := s.cfg.IsReader() && !asked && len(s.cfg.Peers()) > 0
+		if !first && (!s.stale() || s.cfg.Now().Before(nextPeers)) {
+			continue
+		}
+		asked = true
+		if !s.queryPeers(ctx) {
+			nextPeers = s.cfg.Now().Add(peerRetryDelay)
 		}
 	}
 	return nil
 }
 
-// queryReaders queries the readers in order until one has newer data, and waits
-// until the next round is due.
+// queryReaders queries the readers, and then the standbys, in order until this node has current data, and
+// waits until the next round is due. Only those before this node tell a standby whether it is needed: the
+// ones behind it may have their data from this node.
 func (s *Syncer) queryReaders(ctx context.Context) {
-	for i, address := range s.cfg.Readers() {
+	before, late := true, true
+	for i, address := range slices.Concat(s.cfg.Readers(), s.cfg.Standbys()) {
+		if address == s.cfg.Address {
+			before = false
+			continue
+		}
 		var opts queryOptions
 		if i == 0 {
 			s.setReader(address)
 			opts = queryOptions{report: s.cfg.Report(), fullTable: true}
 		}
-		if s.queryPeer(ctx, address, opts) {
+		reply := s.queryPeer(ctx, address, opts)
+		if before && reply.current {
+			late = false
+		}
+		if (reply.fresher || reply.current) && s.current() {
 			break
 		}
 	}
+	if late {
+		s.noteReadersLate()
+	}
 	grouper.Sleep(ctx, queryInterval-peerCheckInterval)
 }
 
+// noteReadersLate records that the nodes that read the store before this one have only old data.
+func (s *Syncer) noteReadersLate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readersLateAt = s.cfg.Now()
+}
+
+// current reports whether this node's data is as new as that of a node that reads the store.
+func (s *Syncer) current() bool {
+	now := s.cfg.Now()
+	return now.Sub(s.tableTime()) <= currentTableAge && now.Sub(s.View().Confirmed) <= currentConfigurationAge
+}
+
 // setReader records which node reads the store for this one. After a change of the
 // reader full tables are requested: entries that the store dropped for a while may
 // be missing from one of the tables only.
@@ -201,7 +234,7 @@
 	peers = peers[:min(len(peers), maxPeersQueried)]
 	results := make(chan bool, len(peers))
 	for _, address := range peers {
-		go func() { results <- s.queryPeer(ctx, address, queryOptions{}) }()
+		go func() { results <- s.queryPeer(ctx, address, queryOptions{}).fresher }()
 	}
 	found := false
 	for range peers {
@@ -219,8 +252,16 @@
 	fullTable bool
 }
 
-// queryPeer queries one node and reports whether it had newer data.
-func (s *Syncer) queryPeer(ctx context.Context, address string, opts queryOptions) bool {
+// reply says what the answer to a query had; it is zero if there was none.
+type reply struct {
+	// fresher is set if some of its data was newer than this node's, and current if its
+	// confirmation was that of a node that reads the store.
+	fresher bool
+	current bool
+}
+
+// queryPeer queries one node and applies its answer.
+func (s *Syncer) queryPeer(ctx context.Context, address string, opts queryOptions) reply {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	q := query{TableAgeMillis: -1, From: s.cfg.Address + acceptsGzip, Report: opts.report}
@@ -239,23 +280,23 @@
 	s.mu.Unlock()
 	body, err := encoder.CBOR(q)
 	if err != nil {
-		return false
+		return reply{}
 	}
 	sentAt := s.cfg.Now()
 	data, err := s.cfg.Query(ctx, address, body)
 	s.cfg.Counters.Config.Add("peers_asked", 1)
 	if err != nil {
-		return false
+		return reply{}
 	}
 	ans, err := encoder.FromCBOR[answer](data)
 	if err != nil {
 		s.cfg.Recorder.Warn(recorder.ListBadRecord, zap.String("node", address), zap.Error(err))
-		return false
+		return reply{}
 	}
 	configuration, release, err := unpack(ans.Configuration, s.cfg.Memory)
 	if err != nil {
 		s.cfg.Recorder.Warn(recorder.ListBadRecord, zap.String("node", address), zap.Error(err))
-		return false
+		return reply{}
 	}
 	defer release()
 	ans.Configuration = configuration
@@ -265,7 +306,11 @@
 	if len(ans.Aggregate) > 0 {
 		s.cfg.HandleAggregate(ans.Aggregate)
 	}
-	return s.applyAnswer(ans, sentAt, address)
+	age := time.Duration(ans.ConfirmationAgeMillis) * time.Millisecond
+	return reply{
+		fresher: s.applyAnswer(ans, sentAt, address),
+		current: age >= 0 && age <= currentConfigurationAge,
+	}
 }
 
 // applyAnswer applies the answer to a query that was sent at sentAt, if it is
--- a/internal/supervisor/syncer/return_test.go
+++ b/internal/supervisor/syncer/return_test.go
@@ -13,9 +13,8 @@
 	"banyanquay/internal/provider"
 )
 
-// cutTopics returns the topics of a store to which calls get no answer while cut is set.
-func cutTopics(st *store, cut *atomic.Bool) provider.Topics {
-	topics := st.Topics()
+// cutTopics returns topics whose calls get no answer while cut is set.
+func cutTopics(topics provider.Topics, cut *atomic.Bool) provider.Topics {
 	newest, follow := topics.Newest, topics.Follow
 	lost := func() error {
 		if !cut.Load() {
@@ -52,7 +51,7 @@
 				nodes := map[string]*Syncer{"far": newSyncer(st, nil), "reader": newSyncer(st, far), "mate": newSyncer(st, peers)}
 				far["far"], peers["far"] = nodes["far"], nodes["far"]
 				peers["reader"] = nodes["reader"]
-				nodes["reader"].cfg.Topics = cutTopics(st, &cut)
+				nodes["reader"].cfg.Topics = cutTopics(st.Topics(), &cut)
 				mate := &nodes["mate"].cfg
 				mate.IsReader, mate.IsStandby = func() bool { return false }, func() bool { return false }
 				mate.Readers = func() []string { return []string{"reader"} }
--- /dev/null
+++ b/internal/supervisor/syncer/standby_test.go
@@ -0,0 +1,88 @@
+package syncer
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"banyanquay/internal/provider"
+)
+
+// largeDeadline is the time within which a change of the configuration and an endpoint's leaving
+// must be in force at a large fleet.
+const largeDeadline = 3 * time.Second
+
+// failTopics returns topics whose calls fail at once while cut is set.
+func failTopics(topics provider.Topics, cut *atomic.Bool) provider.Topics {
+	newest, follow := topics.Newest, topics.Follow
+	rejected := trace.ConnectionProblem(nil, "rejected")
+	topics.Newest = func(ctx context.Context, topic string) (provider.Items, error) {
+		if cut.Load() {
+			return provider.Items{}, rejected
+		}
+		return newest(ctx, topic)
+	}
+	topics.Follow = func(ctx context.Context, topic string, from provider.Offset, wait time.Duration) (provider.Items, error) {
+		if cut.Load() {
+			return provider.Items{}, rejected
+		}
+		items, err := follow(ctx, topic, from, wait)
+		if cut.Load() {
+			return provider.Items{}, rejected // the connection ends during the wait
+		}
+		return items, err
+	}
+	return topics
+}
+
+// checkInForce checks that all nodes from the given one on know version 2 and that e1 leaves.
+func checkInForce(t *testing.T, fl *outageFleet, first int, what string) {
+	t.Helper()
+	for n, s := range fl.all[first:] {
+		if got, want := version(s), int64(2); got != want {
+			t.Errorf("node %d, %s: version %d, want %d", n+first, what, got, want)
+		}
+		if e, _ := s.Table().Get("e1"); !e.Leaving {
+			t.Errorf("node %d, %s: e1 is not known to be leaving", n+first, what)
+		}
+	}
+}
+
+// Guards against nodes that serve by an old configuration, or send requests to endpoints that leave,
+// because the readers of all data centres lost the store, or these and their first standbys, while it answers
+// all other nodes.
+func TestChangesAreInForceWhenAllReadersLoseTheStore(t *testing.T) {
+	fleets := []struct {
+		nodes, cutOff int
+		deadline      time.Duration
+	}{{71, 3, largeDeadline}, {71, 6, largeDeadline}, {9, 3, drainDeadline}, {9, 6, drainDeadline}}
+	failures := map[string]func(provider.Topics, *atomic.Bool) provider.Topics{"rejected": failTopics, "no answer": cutTopics}
+	for _, f := range fleets {
+		for name, fail := range failures {
+			for after := -100 * time.Millisecond; after < 9*time.Second; after += 1300 * time.Millisecond {
+				t.Run(fmt.Sprintf("%d of %d, %s, %v", f.cutOff, f.nodes, name, after), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						var cut atomic.Bool
+						fl := newOutageFleet(t, f.nodes, func(n int, s *Syncer) {
+							if n < f.cutOff {
+								s.cfg.Topics = fail(s.cfg.Topics, &cut)
+							}
+						})
+						const outage = 5 * time.Second
+						time.AfterFunc(outage, func() { cut.Store(true) })
+						time.Sleep(outage + after)
+						fl.store.put(configTopic, configKey, "2")
+						fl.store.put(endpointTopic, "e1", "leaving")
+						time.Sleep(f.deadline)
+						checkInForce(t, fl, f.cutOff, fmt.Sprintf("%v after the change", f.deadline))
+					})
+				})
+			}
+		}
+	}
+}
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -57,6 +57,10 @@
 	// exceed its age threshold before the node reads the store itself; other nodes
 	// are queried meanwhile.
 	directReadDelay = 350 * time.Millisecond
+	// standbyPeriod is how long a standby reads the store after the nodes before it last had only old
+	// data. A reader without the store gets new data of other nodes from time to time; it is old again
+	// within this time.
+	standbyPeriod = 3 * time.Second
 	// answerTTL is how long an answer of another node shows that this one would learn from
 	// others that the store answers again. It allows for a query that isn't answered.
 	answerTTL = queryInterval + peerTimeout + 500*time.Millisecond
@@ -87,13 +91,16 @@
 	// query the nodes that Readers returns, and any of Peers while the readers don't
 	// answer or have nothing newer. Query sends a query to one node.
 	IsReader func() bool
-	// IsStandby reports whether this node, which is no reader, reads the store while its
-	// data is old; nil means that it does. The other nodes do so only while no node answers
+	// IsStandby reports whether this node, which is no reader, reads the store while those before it
+	// don't; nil means that it does. The other nodes do so only while no node answers
 	// them, so that an outage of the store gets calls of a few nodes only.
 	IsStandby func() bool
 	Readers   func() []string
-	Peers     func() []string
-	Query     func(ctx context.Context, address string, query []byte) ([]byte, error)
+	// Standbys returns the standbys of this node's data centre in the order in which they replace its
+	// reader, with this node if it is one; nil means none.
+	Standbys func() []string
+	Peers    func() []string
+	Query    func(ctx context.Context, address string, query []byte) ([]byte, error)
 	// Address is this node's address. Report returns its report to the node that
 	// reads the store for it, HandleReport answers such a report of another node,
 	// and HandleAggregate takes the answer.
@@ -132,6 +139,9 @@
 	reader    string
 	// lastAnswered is when another node last answered a query; zero if none has.
 	lastAnswered time.Time
+	// readersLateAt is when the nodes that read the store before this one last had only old data;
+	// zero if they never had. Nodes that are no standby don't use it.
+	readersLateAt time.Time
 	// lostAt is when this node's reads of the endpoints last began to fail, and othersReadAt the
 	// earliest later time as of which it got the table of another node; zero if it got none.
 	lostAt       time.Time
@@ -143,6 +153,9 @@
 	if cfg.IsStandby == nil {
 		cfg.IsStandby = func() bool { return true }
 	}
+	if cfg.Standbys == nil {
+		cfg.Standbys = func() []string { return nil }
+	}
 	if cfg.Memory == nil {
 		cfg.Memory = bounder.NewPool(4 * maxConfigurationBytes)
 	}
@@ -215,19 +228,32 @@
 }
 
 // shouldRead reports whether this node reads the store itself: because it is a
-// reader, or because its data is older than threshold by directReadDelay and it is a
-// standby or gets no answers of other nodes. A starting node reads only what it has no
+// reader, because it is a standby and those before it don't, or because its data is older than threshold by
+// directReadDelay and it gets no answers of other nodes. A starting node reads only what it has no
 // data of.
 func (s *Syncer) shouldRead(asOf time.Time, threshold time.Duration) bool {
+	late := s.cfg.Now().Sub(asOf) > threshold+directReadDelay
 	switch {
 	case s.cfg.Starting():
 		return asOf.IsZero()
 	case s.cfg.IsReader():
 		return true
-	case s.cfg.Now().Sub(asOf) <= threshold+directReadDelay:
-		return false
+	case s.cfg.IsStandby():
+		return s.replacesReader(late)
+	}
+	return late && !s.recentlyAnswered()
+}
+
+// replacesReader reports whether a standby reads the store: for standbyPeriod after the nodes before it
+// last had only old data. Its own data doesn't tell, as that is new while it reads. late reports
+// that it is old all the same.
+func (s *Syncer) replacesReader(late bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if late {
+		s.readersLateAt = s.cfg.Now()
 	}
-	return s.cfg.IsStandby() || !s.recentlyAnswered()
+	return !s.readersLateAt.IsZero() && s.cfg.Now().Sub(s.readersLateAt) < standbyPeriod
 }
 
 // noteLost records that this node's reads of the endpoints begin to fail.
