Keep the table of a restored store at nodes that begin to read it

When the store came back from an older copy, nodes listed endpoints again that had been removed, and dropped those that the copy lacks.

Cause: a node that begins to read, as a standby does in an outage, has no position in the store and gets no ErrRestored. It took the copy for the current table and told other nodes. And changes that a reader sends were applied to a table that this node had read from the store itself, where entries that were kept for a while ended.

A node keeps the era that it knew while it didn't read, and treats a reading of a later one, or one within the grace period of the rise, as one after a restore. A full reading from the store forgets the positions in the tables of other nodes, so that the next answer has the whole table.

--- a/internal/supervisor/syncer/feed.go
+++ b/internal/supervisor/syncer/feed.go
@@ -95,15 +95,44 @@
 	keepUntil time.Time
 }
 
+// era is the era of the store that a node knew while it didn't read it.
+type era struct {
+	current func() uint64
+	now     func() time.Time
+	// seen is valid if known is set, and roseAt is when it last rose; zero if it never did.
+	seen   uint64
+	known  bool
+	roseAt time.Time
+}
+
+// observe takes the era as far as it is known now.
+func (e *era) observe() {
+	if current := e.current(); !e.known || current != e.seen {
+		e.rose(current)
+	}
+}
+
+// rose takes the era of a read, and reports whether the store came back from an older copy since the last
+// one or so recently that what was written since the copy may not have been written again.
+func (e *era) rose(read uint64) bool {
+	if e.known && read != e.seen {
+		e.roseAt = e.now()
+	}
+	e.seen, e.known = read, true
+	return !e.roseAt.IsZero() && e.now().Sub(e.roseAt) < lapseGracePeriod
+}
+
 // follow reads a topic until ctx ends: first the newest record of each key, then the
 // records that come after them.
 func (s *Syncer) follow(ctx context.Context, f feed) error {
 	o := outage{recorder: s.cfg.Recorder, name: f.name, now: s.cfg.Now, lost: f.lost, othersRead: f.othersRead}
 	initialised, restored := false, false
 	var from provider.Offset
+	known := era{current: s.cfg.Topics.CurrentEra, now: s.cfg.Now}
 	for ctx.Err() == nil {
 		if !f.due() {
 			initialised = false
+			known.observe()
 			grouper.Sleep(ctx, roleCheckInterval)
 			continue
 		}
@@ -125,6 +154,9 @@
 		case err != nil:
 			return nil
 		}
+		if !initialised && known.rose(items.End.Era()) {
+			restored, o.returned = true, s.cfg.Now()
+		}
 		if returned := o.succeeded(); returned && items.More {
 			// Endpoints that were removed meanwhile would be listed again until the page with
 			// their removal is read.
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -353,6 +353,7 @@
 	next := before.With(now, r.keepUntil, changes)
 	if r.full {
 		next = before.Replaced(now, r.keepUntil, entries)
+		clear(s.positions) // changes that others send are to their tables
 	}
 	s.replace(&next)
 	if !r.items.More {
