Tell failing readers from those that read, and query standbys at once

A reader that had lost the store queried up to four nodes one after the other before it queried random ones, and learnt of a change up to 3.4 s later if these were silent. Standbys read a store whose calls take 0.2 s or more, as the readers' confirmations looked old: calls double just when the store is slow. And a node that gets its data from a standby looks like one that reads the store, so that the standby stops.

A node whose own reads fail marks the age in its answers: as a negative number, which older builds take for none. A standby is needed unless a node before it has a current confirmation without that mark. The other readers are queried at once, and then the standbys, so that silent nodes cost 1.2 s as before the standbys were queried; a reader that lost the store queries all of them beside two random nodes. Confirmations up to 1.7 s are current, which allows for calls of 0.25 s.

--- a/internal/supervisor/syncer/feed.go
+++ b/internal/supervisor/syncer/feed.go
@@ -76,13 +76,21 @@
 	due func() bool
 	// apply merges the records of a read.
 	apply func(r reading)
-	// lost, if set, is called when calls begin to fail, and othersRead, if set, when they
-	// succeed again: it reports whether other nodes read the topic meanwhile, so that only
-	// this node was cut off.
+	// lost, if set, is called when calls begin to fail, and readable, if set, after each that succeeds and while
+	// this node makes none. othersRead, if set, is called when they succeed again: it reports whether other nodes
+	// read the topic meanwhile, so that only this node was cut off.
 	lost       func()
+	readable   func()
 	othersRead func() bool
 }
 
+// noteReadable says that no call fails.
+func (f feed) noteReadable() {
+	if f.readable != nil {
+		f.readable()
+	}
+}
+
 // reading is the result of a read of a topic.
 type reading struct {
 	items provider.Items
@@ -133,6 +141,7 @@
 		if !f.due() {
 			initialised = false
 			known.observe()
+			f.noteReadable()
 			grouper.Sleep(ctx, roleCheckInterval)
 			continue
 		}
@@ -154,6 +163,7 @@
 		case err != nil:
 			return nil
 		}
+		f.noteReadable()
 		if !initialised && known.rose(items.End.Era()) {
 			restored, o.returned = true, s.cfg.Now()
 		}
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -29,9 +29,9 @@
 	configurationAgeThreshold = 2*configurationWait + queryInterval + 400*time.Millisecond
 	tableAgeThreshold         = pollInterval + queryInterval + 250*time.Millisecond
 	// currentConfigurationAge and currentTableAge are the ages up to which data is that of a node that
-	// reads the store: those of its last reads when the next ones are about to end.
-	currentConfigurationAge = 2*configurationWait + 300*time.Millisecond
-	currentTableAge         = pollInterval + 300*time.Millisecond
+	// reads the store, unless each call takes more than 0.25 s: those of its last reads when the next ones are about to end.
+	currentConfigurationAge = 2*configurationWait + 500*time.Millisecond
+	currentTableAge         = pollInterval + 500*time.Millisecond
 	// peerTimeout bounds a query to a node, and maxPeersQueried the nodes queried at
 	// once.
 	peerTimeout     = 400 * time.Millisecond
@@ -87,7 +87,8 @@
 	// ConfirmationAgeMillis is the age of the configuration's confirmation, and
 	// TableAgeMillis that of the table. Each is negative if there is none,
 	// TableAgeMillis also if the table is not fresher than the table of the node that
-	// sent the query.
+	// sent the query. Below -1, ConfirmationAgeMillis is that of a node whose own reads fail: the age
+	// is -1 less the value. Older builds take it for none.
 	ConfirmationAgeMillis int64
 	TableAgeMillis        int64
 	// Entries and Removed are the changes to the table since the query's revision;
@@ -111,6 +112,9 @@
 	ans, view, raw := s.tableAnswer(q)
 	if view.Configuration != nil && !view.Confirmed.IsZero() {
 		ans.ConfirmationAgeMillis = s.cfg.Now().Sub(view.Confirmed).Milliseconds() + 1
+		if s.failing.Load() {
+			ans.ConfirmationAgeMillis = -1 - ans.ConfirmationAgeMillis
+		}
 		if view.Configuration.Version() > q.Version {
 			ans.Configuration = s.packer.pack(raw, q.From)
 		}
@@ -152,7 +156,7 @@
 	asked := false
 	var nextPeers time.Time
 	for grouper.Sleep(ctx, peerCheckInterval) {
-		if !s.cfg.IsReader() || s.stale() {
+		if !s.cfg.IsReader() {
 			s.queryReaders(ctx)
 		}
 		first := s.cfg.IsReader() && !asked && len(s.cfg.Peers()) > 0
@@ -167,30 +171,29 @@
 	return nil
 }
 
-// queryReaders queries the readers, and then the standbys, in order until this node has current data, and
-// waits until the next round is due. Only those before this node tell a standby whether it is needed: the
-// ones behind it may have their data from this node.
+// queryReaders queries the reader of this node's data centre, then the other readers, and then the standbys until
+// this node has current data, and waits until the next round is due.
 func (s *Syncer) queryReaders(ctx context.Context) {
-	before, late := true, true
-	for i, address := range slices.Concat(s.cfg.Readers(), s.cfg.Standbys()) {
-		if address == s.cfg.Address {
-			before = false
-			continue
-		}
-		var opts queryOptions
-		if i == 0 {
-			s.setReader(address)
-			opts = queryOptions{report: s.cfg.Report(), fullTable: true}
-		}
-		reply := s.queryPeer(ctx, address, opts)
-		if before && reply.current {
-			late = false
-		}
-		if (reply.fresher || reply.current) && s.current() {
+	readers, standbys := s.cfg.Readers(), s.cfg.Standbys()
+	current := false
+	if len(readers) > 0 {
+		s.setReader(readers[0])
+		r := s.queryPeer(ctx, readers[0], queryOptions{report: s.cfg.Report(), fullTable: true})
+		current, readers = r.current, readers[1:]
+	}
+	// Only nodes before this one tell a standby whether it is needed: those behind it may have their data from it.
+	before := slices.Index(standbys, s.cfg.Address)
+	if before < 0 {
+		before = len(standbys)
+	}
+	for _, group := range [][]string{readers, standbys[:before], standbys[min(before+1, len(standbys)):]} {
+		if current && s.current() {
 			break
 		}
+		r := s.queryAll(ctx, group)
+		current = current || r.current
 	}
-	if late {
+	if !current {
 		s.noteReadersLate()
 	}
 	grouper.Sleep(ctx, queryInterval-peerCheckInterval)
@@ -228,19 +231,35 @@
 	return now.Sub(s.tableTime()) > tableAgeThreshold || now.Sub(s.View().Confirmed) > configurationAgeThreshold
 }
 
-// queryPeers queries some nodes at once and reports whether one had newer data.
+// queryPeers queries some nodes at once and reports whether one had newer data. A reader queries the other readers
+// and the standbys as well, since other nodes have their data from these.
 func (s *Syncer) queryPeers(ctx context.Context) bool {
 	peers := s.cfg.Peers()
 	peers = peers[:min(len(peers), maxPeersQueried)]
-	results := make(chan bool, len(peers))
-	for _, address := range peers {
-		go func() { results <- s.queryPeer(ctx, address, queryOptions{}).fresher }()
+	if s.cfg.IsReader() {
+		peers = slices.Concat(peers, s.cfg.Readers(), s.cfg.Standbys())
 	}
-	found := false
-	for range peers {
-		found = <-results || found
+	return s.queryAll(ctx, peers).fresher
+}
+
+// queryAll queries some nodes other than this one at once, and returns what any of them had.
+func (s *Syncer) queryAll(ctx context.Context, addresses []string) reply {
+	var others []string
+	for _, address := range addresses {
+		if address != s.cfg.Address && !slices.Contains(others, address) {
+			others = append(others, address)
+		}
 	}
-	return found
+	replies := make(chan reply, len(others))
+	for _, address := range others {
+		go func() { replies <- s.queryPeer(ctx, address, queryOptions{}) }()
+	}
+	var all reply
+	for range others {
+		r := <-replies
+		all.fresher, all.current = all.fresher || r.fresher, all.current || r.current
+	}
+	return all
 }
 
 // queryOptions are the options of a query.
@@ -255,7 +274,7 @@
 // reply says what the answer to a query had; it is zero if there was none.
 type reply struct {
 	// fresher is set if some of its data was newer than this node's, and current if its
-	// confirmation was that of a node that reads the store.
+	// confirmation was as new as that of a node that reads the store, and the sender's own reads don't fail.
 	fresher bool
 	current bool
 }
@@ -306,10 +325,13 @@
 	if len(ans.Aggregate) > 0 {
 		s.cfg.HandleAggregate(ans.Aggregate)
 	}
-	age := time.Duration(ans.ConfirmationAgeMillis) * time.Millisecond
+	age := ans.ConfirmationAgeMillis
+	if age < -1 {
+		ans.ConfirmationAgeMillis = -1 - age
+	}
 	return reply{
 		fresher: s.applyAnswer(ans, sentAt, address),
-		current: age >= 0 && age <= currentConfigurationAge,
+		current: age >= 0 && age <= currentConfigurationAge.Milliseconds(),
 	}
 }
 
--- a/internal/supervisor/syncer/standby_test.go
+++ b/internal/supervisor/syncer/standby_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -88,6 +89,28 @@
 	}
 }
 
+// Guards against standbys that read a store that answers slowly, although the readers read it: the
+// calls double just when it is slow.
+func TestOnlyReadersReadASlowStore(t *testing.T) {
+	for _, delay := range []time.Duration{100 * time.Millisecond, 200 * time.Millisecond, 300 * time.Millisecond} {
+		t.Run(delay.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newOutageFleet(t, 36, nil)
+				fl.store.set(func() { fl.store.delay = delay })
+				time.Sleep(10 * time.Second)
+				fl.store.set(func() { fl.store.calls = 0 })
+				time.Sleep(10 * time.Second)
+				fl.store.mu.Lock()
+				defer fl.store.mu.Unlock()
+				one := int(10*time.Second/configurationWait + 10*time.Second/pollInterval + 10*time.Second/quarantineWait)
+				if got, want := fl.store.calls, 3*(one+2); got > want {
+					t.Errorf("calls in 10 s: got %d, want at most %d, those of three readers", got, want)
+				}
+			})
+		})
+	}
+}
+
 // Guards against standbys that begin to read the store in an outage, or just after it, and take the
 // older copy from which it came back for the current table: they list removed endpoints again, drop those
 // that the copy lacks, and tell other nodes.
@@ -133,3 +156,41 @@
 		})
 	}
 }
+
+// Guards against a reader without the store that learns of changes late because it waits for readers and
+// standbys that don't answer, one after the other, before it queries nodes that would.
+func TestReaderWithoutAnswersOfStandbysLearnsInTime(t *testing.T) {
+	for after := time.Duration(0); after < 12*time.Second; after += 300 * time.Millisecond {
+		t.Run(after.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var cut atomic.Bool
+				fl := newOutageFleet(t, 36, func(n int, s *Syncer) {
+					if n != 0 {
+						return
+					}
+					s.cfg.Topics = failTopics(s.cfg.Topics, &cut)
+					send := s.cfg.Query
+					s.cfg.Query = func(ctx context.Context, address string, query []byte) ([]byte, error) {
+						if cut.Load() && slices.Contains([]string{"1", "2", "3", "6"}, address) {
+							<-ctx.Done()
+							return nil, trace.ConnectionProblem(ctx.Err(), "no answer")
+						}
+						return send(ctx, address, query)
+					}
+				})
+				time.Sleep(5*time.Second + rand.N(time.Second))
+				cut.Store(true)
+				time.Sleep(after)
+				fl.store.put(configTopic, configKey, "2")
+				fl.store.put(endpointTopic, "e1", "leaving")
+				time.Sleep(largeDeadline)
+				if got, want := version(fl.all[0]), int64(2); got != want {
+					t.Errorf("version %v after the change: got %d, want %d", largeDeadline, got, want)
+				}
+				if e, _ := fl.all[0].Table().Get("e1"); !e.Leaving {
+					t.Errorf("e1 is not known to be leaving %v after the change", largeDeadline)
+				}
+			})
+		})
+	}
+}
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -57,10 +57,9 @@
 	// exceed its age threshold before the node reads the store itself; other nodes
 	// are queried meanwhile.
 	directReadDelay = 350 * time.Millisecond
-	// standbyPeriod is how long a standby reads the store after the nodes before it last had only old
-	// data. A reader without the store gets new data of other nodes from time to time; it is old again
-	// within this time.
-	standbyPeriod = 3 * time.Second
+	// standbyPeriod is how long a standby reads the store after the nodes before it last had no current
+	// data. A reader whose calls get no answer may get data of other nodes before the first call has failed.
+	standbyPeriod = 2 * time.Second
 	// answerTTL is how long an answer of another node shows that this one would learn from
 	// others that the store answers again. It allows for a query that isn't answered.
 	answerTTL = queryInterval + peerTimeout + 500*time.Millisecond
@@ -122,6 +121,8 @@
 	view   atomic.Pointer[forwarder.View]
 	table  atomic.Pointer[registrar.Table]
 	packer packer
+	// failing is set while this node's reads of the configuration fail, so that its data is that of others.
+	failing atomic.Bool
 	// rawConfiguration is the encoded record of the configuration in force.
 	rawConfiguration atomic.Pointer[[]byte]
 	// tableTimestamp is the time as of which the table is known; nil before the
@@ -195,6 +196,7 @@
 		name: "configuration", topic: s.cfg.ConfigTopic, wait: configurationWait,
 		due:   func() bool { return s.shouldRead(s.View().Confirmed, configurationAgeThreshold) },
 		apply: func(r reading) { s.applyConfiguration(r.items, r.sentAt) },
+		lost:  func() { s.failing.Store(true) }, readable: func() { s.failing.Store(false) },
 	})
 }
 
