--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -28,6 +28,10 @@
 	// otherwise read it. Data that is updated in time never gets that old.
 	configurationAgeThreshold = 2*configurationWait + queryInterval + 400*time.Millisecond
 	tableAgeThreshold         = pollInterval + queryInterval + 250*time.Millisecond
+	// currentConfigurationAge and currentTableAge are the ages up to which data is that of a node that
+	// reads the store, unless each call takes more than 0.25 s: those of its last reads when the next ones are about to end.
+	currentConfigurationAge = 2*configurationWait + 500*time.Millisecond
+	currentTableAge         = pollInterval + 500*time.Millisecond
 	// peerTimeout bounds a query to a node, and maxPeersQueried the nodes queried at
 	// once.
 	peerTimeout     = 400 * time.Millisecond
@@ -83,7 +87,8 @@
 	// ConfirmationAgeMillis is the age of the configuration's confirmation, and
 	// TableAgeMillis that of the table. Each is negative if there is none,
 	// TableAgeMillis also if the table is not fresher than the table of the node that
-	// sent the query.
+	// sent the query. Below -1, ConfirmationAgeMillis is that of a node whose own reads fail: the age
+	// is -1 less the value. Older builds take it for none.
 	ConfirmationAgeMillis int64
 	TableAgeMillis        int64
 	// Entries and Removed are the changes to the table since the query's revision;
@@ -107,6 +112,9 @@
 	ans, view, raw := s.tableAnswer(q)
 	if view.Configuration != nil && !view.Confirmed.IsZero() {
 		ans.ConfirmationAgeMillis = s.cfg.Now().Sub(view.Confirmed).Milliseconds() + 1
+		if s.failing.Load() {
+			ans.ConfirmationAgeMillis = -1 - ans.ConfirmationAgeMillis
+		}
 		if view.Configuration.Version() > q.Version {
 			ans.Configuration = s.packer.pack(raw, q.From)
 		}
@@ -146,36 +154,64 @@
 // copy, of which a node that knows nothing yet sees no sign.
 func (s *Syncer) followPeers(ctx context.Context) error {
 	asked := false
+	var nextPeers time.Time
 	for grouper.Sleep(ctx, peerCheckInterval) {
 		if !s.cfg.IsReader() {
 			s.queryReaders(ctx)
-		} else if !asked && len(s.cfg.Peers()) > 0 {
-			asked = true
-			s.queryPeers(ctx)
 		}
-		if s.stale() && !s.queryPeers(ctx) {
-			grouper.Sleep(ctx, peerRetryDelay)
+		first := s.cfg.IsReader() && !asked && len(s.cfg.Peers()) > 0
+		if !first && (!s.stale() || s.cfg.Now().Before(nextPeers)) {
+			continue
+		}
+		asked = true
+		if !s.queryPeers(ctx) {
+			nextPeers = s.cfg.Now().Add(peerRetryDelay)
 		}
 	}
 	return nil
 }
 
-// queryReaders queries the readers in order until one has newer data, and waits
-// until the next round is due.
+// queryReaders queries the reader of this node's data centre, then the other readers, and then the standbys until
+// this node has current data, and waits until the next round is due.
 func (s *Syncer) queryReaders(ctx context.Context) {
-	for i, address := range s.cfg.Readers() {
-		var opts queryOptions
-		if i == 0 {
-			s.setReader(address)
-			opts = queryOptions{report: s.cfg.Report(), fullTable: true}
-		}
-		if s.queryPeer(ctx, address, opts) {
+	readers, standbys := s.cfg.Readers(), s.cfg.Standbys()
+	current := false
+	if len(readers) > 0 {
+		s.setReader(readers[0])
+		r := s.queryPeer(ctx, readers[0], queryOptions{report: s.cfg.Report(), fullTable: true})
+		current, readers = r.current, readers[1:]
+	}
+	// Only nodes before this one tell a standby whether it is needed: those behind it may have their data from it.
+	before := slices.Index(standbys, s.cfg.Address)
+	if before < 0 {
+		before = len(standbys)
+	}
+	for _, group := range [][]string{readers, standbys[:before], standbys[min(before+1, len(standbys)):]} {
+		if current && s.current() {
 			break
 		}
+		r := s.queryAll(ctx, group)
+		current = current || r.current
+	}
+	if !current {
+		s.noteReadersLate()
 	}
 	grouper.Sleep(ctx, queryInterval-peerCheckInterval)
 }
 
+// noteReadersLate records that the nodes that read the store before this one have only old data.
+func (s *Syncer) noteReadersLate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readersLateAt = s.cfg.Now()
+}
+
+// current reports whether this node's data is as new as that of a node that reads the store.
+func (s *Syncer) current() bool {
+	now := s.cfg.Now()
+	return now.Sub(s.tableTime()) <= currentTableAge && now.Sub(s.View().Confirmed) <= currentConfigurationAge
+}
+
 // setReader records which node reads the store for this one. After a change of the
 // reader full tables are requested: entries that the store dropped for a while may
 // be missing from one of the tables only.
@@ -195,19 +231,35 @@
 	return now.Sub(s.tableTime()) > tableAgeThreshold || now.Sub(s.View().Confirmed) > configurationAgeThreshold
 }
 
-// queryPeers queries some nodes at once and reports whether one had newer data.
+// queryPeers queries some nodes at once and reports whether one had newer data. A reader queries the other readers
+// and the standbys as well, since other nodes have their data from these.
 func (s *Syncer) queryPeers(ctx context.Context) bool {
 	peers := s.cfg.Peers()
 	peers = peers[:min(len(peers), maxPeersQueried)]
-	results := make(chan bool, len(peers))
-	for _, address := range peers {
-		go func() { results <- s.queryPeer(ctx, address, queryOptions{}) }()
+	if s.cfg.IsReader() {
+		peers = slices.Concat(peers, s.cfg.Readers(), s.cfg.Standbys())
+	}
+	return s.queryAll(ctx, peers).fresher
+}
+
+// queryAll queries some nodes other than this one at once, and returns what any of them had.
+func (s *Syncer) queryAll(ctx context.Context, addresses []string) reply {
+	var others []string
+	for _, address := range addresses {
+		if address != s.cfg.Address && !slices.Contains(others, address) {
+			others = append(others, address)
+		}
 	}
-	found := false
-	for range peers {
-		found = <-results || found
+	replies := make(chan reply, len(others))
+	for _, address := range others {
+		go func() { replies <- s.queryPeer(ctx, address, queryOptions{}) }()
 	}
-	return found
+	var all reply
+	for range others {
+		r := <-replies
+		all.fresher, all.current = all.fresher || r.fresher, all.current || r.current
+	}
+	return all
 }
 
 // queryOptions are the options of a query.
@@ -219,8 +271,16 @@
 	fullTable bool
 }
 
-// queryPeer queries one node and reports whether it had newer data.
-func (s *Syncer) queryPeer(ctx context.Context, address string, opts queryOptions) bool {
+// reply says what the answer to a query had; it is zero if there was none.
+type reply struct {
+	// fresher is set if some of its data was newer than this node's, and current if its
+	// confirmation was as new as that of a node that reads the store, and the sender's own reads don't fail.
+	fresher bool
+	current bool
+}
+
+// queryPeer queries one node and applies its answer.
+func (s *Syncer) queryPeer(ctx context.Context, address string, opts queryOptions) reply {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	q := query{TableAgeMillis: -1, From: s.cfg.Address + acceptsGzip, Report: opts.report}
@@ -239,23 +299,23 @@
 	s.mu.Unlock()
 	body, err := encoder.CBOR(q)
 	if err != nil {
-		return false
+		return reply{}
 	}
 	sentAt := s.cfg.Now()
 	data, err := s.cfg.Query(ctx, address, body)
 	s.cfg.Counters.Config.Add("peers_asked", 1)
 	if err != nil {
-		return false
+		return reply{}
 	}
 	ans, err := encoder.FromCBOR[answer](data)
 	if err != nil {
 		s.cfg.Recorder.Warn(recorder.ListBadRecord, zap.String("node", address), zap.Error(err))
-		return false
+		return reply{}
 	}
 	configuration, release, err := unpack(ans.Configuration, s.cfg.Memory)
 	if err != nil {
 		s.cfg.Recorder.Warn(recorder.ListBadRecord, zap.String("node", address), zap.Error(err))
-		return false
+		return reply{}
 	}
 	defer release()
 	ans.Configuration = configuration
@@ -265,7 +325,14 @@
 	if len(ans.Aggregate) > 0 {
 		s.cfg.HandleAggregate(ans.Aggregate)
 	}
-	return s.applyAnswer(ans, sentAt, address)
+	age := ans.ConfirmationAgeMillis
+	if age < -1 {
+		ans.ConfirmationAgeMillis = -1 - age
+	}
+	return reply{
+		fresher: s.applyAnswer(ans, sentAt, address),
+		current: age >= 0 && age <= currentConfigurationAge.Milliseconds(),
+	}
 }
 
 // applyAnswer applies the answer to a query that was sent at sentAt, if it is
