Give up silent steps only if another attempt can follow

Callers saw (without relay.enabled): chats refused with 3004, "retry budget spent after stage_silent", on a busy machine whose engines were sound and only slow.

Cause: a step was ended by a timeout estimated from the endpoint's earlier steps. Only then was the budget asked for a retry, and a path looked for. Without either the request was refused, although its engine was about to answer.

Change: a step that passes its timeout is reported as before, so that its endpoint is polled. It is ended only when a replacement is left, a path was found, a retry was taken out of the budgets and the retry's delay is over; the path that was found is used. Without these the step ends with its request, or when its connection fails, which is handled as before. The client's own timeout of a minute no longer applies to steps. Refused retries count once for each silent step.

--- a/internal/driver/engine.go
+++ b/internal/driver/engine.go
@@ -21,7 +21,7 @@
 
 // EngineConfig configures the client of model engines.
 type EngineConfig struct {
-	// Timeout bounds every call; 0 means a minute.
+	// Timeout bounds every call but steps, which end with their request; 0 means a minute.
 	Timeout time.Duration
 	// Budget is the memory for what engines send; an empty one means one of its own.
 	Budget bounder.Budget
@@ -58,7 +58,7 @@
 }
 
 func (e *engine) step(ctx context.Context, address string, step Step) (StepResult, error) {
-	return exchange[Step, StepResult](ctx, e, e.kinds.step, address, http.MethodPost, "/step", &step)
+	return send[Step, StepResult](ctx, e, e.kinds.step, address, http.MethodPost, "/step", &step)
 }
 
 func (e *engine) cancel(ctx context.Context, address string, cancel Cancel) error {
@@ -91,12 +91,17 @@
 	return err
 }
 
-// exchange sends a JSON request over the address's connection pool and decodes the
-// response, which is of kind k. A nil in sends no body.
+// exchange sends a JSON request as send does, within the configured timeout.
 func exchange[I, O any](ctx context.Context, e *engine, k kind, address, method, path string, in *I) (O, error) {
-	var out O
 	ctx, cancel := context.WithTimeout(ctx, e.cfg.Timeout)
 	defer cancel()
+	return send[I, O](ctx, e, k, address, method, path, in)
+}
+
+// send sends a JSON request over the address's connection pool and decodes the
+// response, which is of kind k. A nil in sends no body.
+func send[I, O any](ctx context.Context, e *engine, k kind, address, method, path string, in *I) (O, error) {
+	var out O
 	req, err := newJSONRequest(ctx, method, "http://"+address+path, in)
 	if err != nil {
 		return out, trace.Wrap(err, "building %s %s for %s", method, path, address)
--- a/internal/driver/engine_test.go
+++ b/internal/driver/engine_test.go
@@ -1,9 +1,14 @@
 package driver
 
 import (
+	"context"
 	"errors"
 	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 )
 
 func TestStepIsNeverReplayed(t *testing.T) {
@@ -25,6 +30,29 @@
 	}
 }
 
+// Guards against steps that the client's own timeout ends although their request has time left. Other
+// calls keep that timeout.
+func TestStepsEndWithTheirRequestOnly(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		_, _ = io.WriteString(w, "{}")
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	e := NewEngine(EngineConfig{Timeout: 50 * time.Millisecond})
+	if _, err := e.Step(t.Context(), address, Step{}); err != nil {
+		t.Errorf("a step: got %v, want an answer", err)
+	}
+	if _, err := e.Status(t.Context(), address); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("a status request: got %v, want %v", err, context.DeadlineExceeded)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if _, err := e.Step(ctx, address, Step{}); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("a step whose request has ended: got %v, want %v", err, context.DeadlineExceeded)
+	}
+}
+
 func TestRefusedRequiresStatusAndReason(t *testing.T) {
 	tests := map[string]struct {
 		status int
--- a/internal/loader/settings.go
+++ b/internal/loader/settings.go
@@ -161,10 +161,11 @@
 type Flow struct {
 	// Policy is least_cost, least_load or round_robin.
 	Policy string `toml:"policy"`
-	// StepTimeout bounds one decode step of a stage.
+	// StepTimeout bounds the time after which a decode step of a stage is given up if
+	// another attempt can follow.
 	StepTimeout Duration `toml:"step_timeout"`
-	// FillTimeout bounds a step that runs a prompt or rebuilds a KV cache; an endpoint
-	// whose speed is known gets a shorter timeout.
+	// FillTimeout bounds that time for a step that runs a prompt or rebuilds a KV cache;
+	// an endpoint whose speed is known gets a shorter timeout.
 	FillTimeout Duration `toml:"fill_timeout"`
 	// CallTimeout bounds a call to a plain service.
 	CallTimeout Duration `toml:"call_timeout"`
--- a/internal/supervisor/dispatcher/retrier/retrier.go
+++ b/internal/supervisor/dispatcher/retrier/retrier.go
@@ -112,6 +112,9 @@
 	// Placed is when the endpoint was chosen. Zero means that it was already
 	// known to fail, so that the retry is not exempt from the budgets.
 	Placed time.Time
+	// Repeated is set if a retry of the same attempt was refused before: a further refusal isn't
+	// counted.
+	Repeated bool
 }
 
 // New returns a retrier.
@@ -146,7 +149,9 @@
 	if r.incidents.exempt(t, now, r.cfg.RefillInterval) {
 		r.cfg.Retries.Add(t.Reason.String()+"_spared", 1)
 	} else if err := r.charge(t, now); err != nil {
-		r.cfg.Retries.Add(t.Reason.String()+"_refused", 1)
+		if !t.Repeated {
+			r.cfg.Retries.Add(t.Reason.String()+"_refused", 1)
+		}
 		return 0, err
 	}
 	r.cfg.Retries.Add(t.Reason.String(), 1)
--- a/internal/supervisor/dispatcher/retrier/retrier_test.go
+++ b/internal/supervisor/dispatcher/retrier/retrier_test.go
@@ -121,3 +121,24 @@
 		}
 	})
 }
+
+// Guards against a counter of refused retries that grows while one attempt asks again and again.
+func TestRepeatedRefusalsCountOnce(t *testing.T) {
+	c := &clock{now: time.Unix(1_700_000_000, 0)}
+	r := New(Config{Now: c.Now})
+	attempt := FailedAttempt{Organisation: "a", Address: "e", Reason: StageUnresponsive, Attempt: 1}
+	for range DefaultInitialBudget {
+		if _, err := r.Retry(attempt); err != nil {
+			t.Fatalf("got %v, want a retry", err)
+		}
+	}
+	for i := range 5 {
+		attempt.Repeated = i > 0
+		if _, err := r.Retry(attempt); err == nil {
+			t.Fatal("got a retry, want none left")
+		}
+	}
+	if got := r.cfg.Retries.Get("stage_silent_refused").String(); got != "1" {
+		t.Errorf("got the counter at %s, want 1", got)
+	}
+}
--- a/internal/supervisor/dispatcher/runner/pipeline.go
+++ b/internal/supervisor/dispatcher/runner/pipeline.go
@@ -22,6 +22,10 @@
 	lost int
 	// source is the source of the lost stage's cache.
 	source cacheSource
+	// filling are the stages that are filled together; empty while none are.
+	filling stageRange
+	// next is set from when a silent step is given up until its stage is replaced.
+	next *replacement
 	// replaced counts the replacements so far.
 	replaced int
 	// cacheAttempts maps the addresses that may hold a cache of this request to
@@ -35,6 +39,12 @@
 	outputs outputMemory
 }
 
+// stageRange is a number of consecutive stages. It is an immutable value.
+type stageRange struct {
+	first int
+	count int
+}
+
 // stage is one stage of the pipeline with the inputs that it was given.
 type stage struct {
 	planner.Stage
--- a/internal/supervisor/dispatcher/runner/recovery.go
+++ b/internal/supervisor/dispatcher/runner/recovery.go
@@ -40,18 +40,24 @@
 }
 
 // allowReplacement reports the failure, checks the limits on replacements, and
-// waits before all but the first.
+// waits before all but the first. prepareReplacement has done that for a silent step.
 func (p *pipeline) allowReplacement(ctx context.Context, i int, cause error) error {
 	if ctx.Err() != nil {
 		return contextRefusal(ctx)
 	}
 	lost := p.stages[i]
 	address := lost.Address
-	reason := p.reportFailure(address, cause)
+	reason := retrier.StageUnresponsive
+	if p.next == nil {
+		reason = p.reportFailure(address, cause)
+	}
 	p.runner.cfg.Recorder.Warn(recorder.StageFailed,
 		zap.String("request", p.job.Request), zap.String("endpoint", address),
 		zap.Stringer("reason", reason), zap.Error(cause))
 	p.replaced++
+	if p.next != nil {
+		return nil
+	}
 	if p.replaced > p.runner.cfg.Replacements {
 		return refuser.New(refuser.EndpointFailed, "replaced %d stages; the last failure was at %s: %v", p.replaced-1, address, cause)
 	}
@@ -112,29 +118,54 @@
 }
 
 // replaceStage puts new stages in the place of stage i, rebuilds their caches,
-// and runs the newest input. If only endpoints of other stages could take it, a
-// whole new pipeline is started; if only endpoints that failed could, they are
-// tried again, including the lost one.
+// and runs the newest input.
 func (p *pipeline) replaceStage(ctx context.Context, i int) (string, int, error) {
-	p.failed = append(p.failed, p.stages[i].Address)
-	route := p.job.Route
-	route.Exclude = append(slices.Clone(route.Exclude), p.failed...)
-	plan, err := p.runner.cfg.Replace(route, p.plan(), i)
-	if err == nil {
-		return p.installStages(ctx, i, plan)
-	}
-	newPlan, err := p.runner.cfg.Plan(route)
-	if err == nil {
-		return p.restart(ctx, newPlan)
-	}
-	p.failed = nil
-	retried := p.plan()
-	retried[i].Incarnation = ""
-	plan, err = p.runner.cfg.Replace(p.job.Route, retried, i)
+	next, err := p.takeReplacement(i)
 	if err != nil {
 		return "", 0, err
 	}
-	return p.installStages(ctx, i, plan)
+	p.failed = next.failed
+	if next.whole {
+		return p.restart(ctx, next.plan)
+	}
+	return p.installStages(ctx, i, next.plan)
+}
+
+// replacement is where a request goes on after the loss of a stage. It is an immutable value.
+type replacement struct {
+	plan planner.Plan
+	// whole is set if the plan is of a whole new pipeline.
+	whole bool
+	// failed lists the addresses that are left out from then on.
+	failed []string
+}
+
+// takeReplacement returns the replacement that was found before stage i was given up, or finds one.
+func (p *pipeline) takeReplacement(i int) (replacement, error) {
+	if next := p.next; next != nil {
+		p.next = nil
+		return *next, nil
+	}
+	return p.findReplacement(p.plan(), i)
+}
+
+// findReplacement finds new stages for a lost one. If only endpoints of other stages could take it, it
+// is a whole new pipeline; if only endpoints that failed could, they are tried again, including the
+// lost one.
+func (p *pipeline) findReplacement(plan planner.Plan, lost int) (replacement, error) {
+	failed := append(slices.Clone(p.failed), plan[lost].Address)
+	route := p.job.Route
+	route.Exclude = slices.Concat(route.Exclude, failed)
+	if found, err := p.runner.cfg.Replace(route, plan, lost); err == nil {
+		return replacement{plan: found, failed: failed}, nil
+	}
+	if found, err := p.runner.cfg.Plan(route); err == nil {
+		return replacement{plan: found, whole: true, failed: failed}, nil
+	}
+	retried := slices.Clone(plan)
+	retried[lost].Incarnation = ""
+	found, err := p.runner.cfg.Replace(p.job.Route, retried, lost)
+	return replacement{plan: found}, err
 }
 
 // installStages installs the part of a plan that replaces stage i.
@@ -157,6 +188,8 @@
 // refill rebuilds the caches of stages i to i+n-1 from the lost stage's inputs.
 // It returns the output for the newest input and the index after the stages.
 func (p *pipeline) refill(ctx context.Context, i, n int, inputs []string) (string, int, error) {
+	p.filling = stageRange{first: i, count: n}
+	defer func() { p.filling = stageRange{} }()
 	last := len(inputs) - 1
 	values := inputs
 	for j := i; j < i+n; j++ {
--- a/internal/supervisor/dispatcher/runner/runner_test.go
+++ b/internal/supervisor/dispatcher/runner/runner_test.go
@@ -51,6 +51,8 @@
 	runsThenOverloads
 	// answersEarlier runs the step and answers with the endpoint's earlier result.
 	answersEarlier
+	// answersLate answers after lateTime.
+	answersLate
 	faultCount
 )
 
@@ -121,6 +123,12 @@
 	case hangs:
 		<-ctx.Done()
 		return driver.StepResult{}, ctx.Err()
+	case answersLate:
+		select {
+		case <-time.After(lateTime):
+		case <-ctx.Done():
+			return driver.StepResult{}, ctx.Err()
+		}
 	}
 	f.saveCache(address)
 	result, err := f.engines[address].Step(ctx, step)
--- a/internal/supervisor/dispatcher/runner/step.go
+++ b/internal/supervisor/dispatcher/runner/step.go
@@ -35,7 +35,7 @@
 	return p.runPrefill(ctx, s, inputs, true)
 }
 
-// runPrefill runs a prompt and the positions after it within the timeout
+// runPrefill runs a prompt and the positions after it with the timeout
 // estimated for the endpoint, and updates the estimate.
 func (p *pipeline) runPrefill(ctx context.Context, s *stage, inputs []string, fill bool) ([]string, error) {
 	prefills := p.runner.prefillEstimates
@@ -54,7 +54,7 @@
 	return outputs, err
 }
 
-// decode runs one position within the timeout estimated for the endpoint, and
+// decode runs one position with the timeout estimated for the endpoint, and
 // updates the estimate.
 func (p *pipeline) decode(ctx context.Context, s *stage, position int, inputs []string) ([]string, error) {
 	latencies := p.runner.decodeLatencies
@@ -72,10 +72,9 @@
 	return outputs, err
 }
 
-// sendStep sends one step to a stage and checks that the answer belongs to it.
+// sendStep sends one step to a stage and checks that the answer belongs to it. A step that isn't
+// answered within the timeout is given up only if another attempt can follow at once.
 func (p *pipeline) sendStep(ctx context.Context, s *stage, position int, inputs []string, fill bool, timeout time.Duration) ([]string, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
 	step := driver.Step{
 		Request:  p.job.Request,
 		Attempt:  s.attempt,
@@ -92,7 +91,7 @@
 	p.sent = true
 	end := p.runner.cfg.Begin(s.Address)
 	start := time.Now()
-	result, err := p.runner.cfg.Engine.Step(ctx, s.Address, step)
+	result, err := p.awaitStep(ctx, s.Address, step, timeout)
 	end(time.Since(start), err)
 	if err != nil {
 		return nil, trace.Wrap(err, "running layers %d to %d at %s", s.First, s.Last, s.Address)
