Test in fake time how long a stop answers accepted requests

Evidence: once the handler has been entered, the connection is active, and only the end of drainTimeout closes it without an answer; a panic would be logged.

Change: TestStopAnswersWithinItsTimeouts stops a server on an in-memory connection in fake time, with handlers of each millisecond up to LateTimeout + drainTimeout, on new and kept connections. Step serves in a function of its own for it; its behaviour is the same.

Result: the new test passes on the code as it was. It fails if the drain is replaced by Close, LateTimeout is left out, or the drain is 10 ms shorter.

--- a/internal/supervisor/acceptor/acceptor.go
+++ b/internal/supervisor/acceptor/acceptor.go
@@ -47,27 +47,32 @@
 		if err != nil {
 			return trace.Wrap(err, "listening on %s for %s", cfg.Address, cfg.Name)
 		}
-		server := &http.Server{
-			Handler:           cfg.Handler,
-			ReadHeaderTimeout: cfg.HeaderTimeout,
-			IdleTimeout:       cfg.IdleTimeout,
-			MaxHeaderBytes:    cfg.MaxHeaderBytes,
-		}
-		if cfg.Memory != nil {
-			ln = CountHeads(server, ln, cfg.Memory, writeRefusal)
-		}
-		conns := CountConnections(server)
-		stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
-		defer stop()
-		if err := server.Serve(ln); ctx.Err() == nil || !errors.Is(err, net.ErrClosed) {
-			return trace.Wrap(err, "serving %s on %s", cfg.Name, cfg.Address)
-		}
-		conns.AwaitLate(cmp.Or(cfg.lateTimeout, LateTimeout))
-		drain(server)
-		return nil
+		return serve(ctx, cfg, ln)
 	}}
 }
 
+// serve serves the connections of ln until ctx ends, then stops as Step says.
+func serve(ctx context.Context, cfg Config, ln net.Listener) error {
+	server := &http.Server{
+		Handler:           cfg.Handler,
+		ReadHeaderTimeout: cfg.HeaderTimeout,
+		IdleTimeout:       cfg.IdleTimeout,
+		MaxHeaderBytes:    cfg.MaxHeaderBytes,
+	}
+	if cfg.Memory != nil {
+		ln = CountHeads(server, ln, cfg.Memory, writeRefusal)
+	}
+	conns := CountConnections(server)
+	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
+	defer stop()
+	if err := server.Serve(ln); ctx.Err() == nil || !errors.Is(err, net.ErrClosed) {
+		return trace.Wrap(err, "serving %s on %s", cfg.Name, cfg.Address)
+	}
+	conns.AwaitLate(cmp.Or(cfg.lateTimeout, LateTimeout))
+	drain(server)
+	return nil
+}
+
 // drain waits for the requests in flight, then closes all connections.
 func drain(server *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
--- a/internal/supervisor/acceptor/acceptor_test.go
+++ b/internal/supervisor/acceptor/acceptor_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -66,6 +68,101 @@
 	}
 }
 
+// Guards against a stop that closes the connection of an accepted request before LateTimeout and
+// drainTimeout have passed: for every duration of the handler below their sum, in fake time, the
+// request must be answered whole, and a longer one must not delay the end of the stop.
+func TestStopAnswersWithinItsTimeouts(t *testing.T) {
+	const limit = LateTimeout + drainTimeout
+	durations := []time.Duration{0, time.Microsecond, limit - time.Microsecond, limit + time.Microsecond, time.Hour}
+	for d := time.Millisecond; d < limit; d += time.Millisecond {
+		durations = append(durations, d)
+	}
+	for _, kept := range []bool{false, true} {
+		for _, duration := range durations {
+			synctest.Test(t, func(t *testing.T) { stopDuringRequest(t, kept, duration) })
+		}
+	}
+}
+
+// stopDuringRequest stops a server while the first request of a connection, or if it is kept the
+// second, is in progress. From the start of the stop on, the handler takes a duration.
+func stopDuringRequest(t *testing.T, kept bool, duration time.Duration) {
+	accepted := make(chan struct{}, 1)
+	step := Config{Name: "test", Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			accepted <- struct{}{}
+			time.Sleep(duration)
+		}
+		_, _ = io.WriteString(w, "answer")
+	})}
+	ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- serve(ctx, step, ln) }()
+	client, server := net.Pipe()
+	defer client.Close()
+	ln.conns <- server
+	r := bufio.NewReader(client)
+	if kept {
+		if got, err := get(client, r, "/"); got != "answer" {
+			t.Fatalf("the request before: got %q, %v, want an answer", got, err)
+		}
+	}
+	go func() {
+		<-accepted
+		stop()
+	}()
+	begin := time.Now()
+	got, err := get(client, r, "/slow")
+	if answered := err == nil && got == "answer"; answered != (duration < LateTimeout+drainTimeout) {
+		t.Errorf("kept %v, handler of %v: got %q, %v after %v", kept, duration, got, err, time.Since(begin))
+	}
+	if err := <-ended; err != nil {
+		t.Errorf("kept %v, handler of %v: got error %v, want none", kept, duration, err)
+	}
+	if got, limit := time.Since(begin), LateTimeout+latePollInterval+drainTimeout; got > limit {
+		t.Errorf("kept %v, handler of %v: the stop took %v, want at most %v", kept, duration, got, limit)
+	}
+	time.Sleep(duration) // the handler's goroutine has to end within the bubble
+}
+
+// get sends a request without a body on a connection and returns the body of its answer.
+func get(conn net.Conn, r *bufio.Reader, path string) (string, error) {
+	if _, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: test\r\n\r\n"); err != nil {
+		return "", err
+	}
+	resp, err := http.ReadResponse(r, nil)
+	if err != nil {
+		return "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+// pipeListener is a net.Listener with in-memory connections, which fake time requires.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (p *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipeListener) Close() error {
+	p.once.Do(func() { close(p.closed) })
+	return nil
+}
+
+func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
 // A handler that doesn't end must not delay the stop for longer than the timeout.
 func TestStopEndsConnections(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
