--- a/internal/supervisor/syncer/standby_test.go
+++ b/internal/supervisor/syncer/standby_test.go
@@ -66,7 +66,7 @@
 	failures := map[string]func(provider.Topics, *atomic.Bool) provider.Topics{"rejected": failTopics, "no answer": cutTopics}
 	for _, f := range fleets {
 		for name, fail := range failures {
-			for after := -100 * time.Millisecond; after < 9*time.Second; after += 2300 * time.Millisecond {
+			for after := -100 * time.Millisecond; after < 9*time.Second; after += 1300 * time.Millisecond {
 				t.Run(fmt.Sprintf("%d of %d, %s, %v", f.cutOff, f.nodes, name, after), func(t *testing.T) {
 					synctest.Test(t, func(t *testing.T) {
 						var cut atomic.Bool
@@ -194,3 +194,51 @@
 		})
 	}
 }
+
+// checkEachChange changes the configuration ten times a second while the first nodes of a fleet are cut off from
+// the store, and checks for how long any other node has an older one.
+func checkEachChange(t *testing.T, nodes int, deadline time.Duration) {
+	const (
+		outage = 20 * time.Second
+		step   = 100 * time.Millisecond
+	)
+	for _, cutOff := range []int{3, 6} {
+		for name, fail := range map[string]func(provider.Topics, *atomic.Bool) provider.Topics{"rejected": failTopics, "no answer": cutTopics} {
+			t.Run(fmt.Sprintf("%d nodes, %s", cutOff, name), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var cut atomic.Bool
+					fl := newOutageFleet(t, nodes, func(n int, s *Syncer) {
+						if n < cutOff {
+							s.cfg.Topics = fail(s.cfg.Topics, &cut)
+						}
+					})
+					time.Sleep(5 * time.Second)
+					cut.Store(true)
+					worst := time.Duration(0)
+					began := time.Now()
+					for n := range int(outage / step) {
+						fl.store.put(configTopic, configKey, fmt.Sprint(2+n))
+						time.Sleep(step)
+						for _, s := range fl.all[cutOff:] {
+							worst = max(worst, time.Since(began)-time.Duration(version(s)-1)*step)
+						}
+					}
+					if got, want := worst, deadline; got > want {
+						t.Errorf("the oldest configuration had a successor for %v, want at most %v", got, want)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against standbys that stop reading the store while no reader reads it: each of many changes in an
+// outage of the readers, or of these and their first standbys, must be in force in time.
+func TestEachChangeIsInForceWhileReadersAreCutOff(t *testing.T) {
+	checkEachChange(t, 36, largeDeadline)
+}
+
+// Guards against the same in a small fleet, which has less time.
+func TestEachChangeIsInForceInASmallFleet(t *testing.T) {
+	checkEachChange(t, 9, drainDeadline)
+}
