--- a/internal/bounder/process.go
+++ b/internal/bounder/process.go
@@ -8,9 +8,9 @@
 
 const (
 	// crowdedRatio is the part of a process's memory limit above which the runtime's memory is crowded.
-	// The runtime collects garbage all the time from 0.7 of the limit on, and is above that only
-	// while others keep the collector from the processor. The rest is for the program's pages, some
-	// 13 MB, and for what small readers leave until a collection ends.
+	// The runtime's own limit is 0.7; it is exceeded while the collector lacks processor time, or if more
+	// than that is in use. The rest is for the program's pages, some 13 MB, and for what small readers
+	// leave until a collection ends.
 	crowdedRatio = 0.75
 	// sampleInterval is the time between two samples of the runtime's memory, in which 100 MB/s
 	// add 0.5 MB. A sample takes about 1 µs.
--- a/internal/supervisor/dispatcher/runner/runner.go
+++ b/internal/supervisor/dispatcher/runner/runner.go
@@ -37,7 +37,6 @@
 	Retry func(t retrier.FailedAttempt) (time.Duration, error)
 	// Succeeded credits the retry budgets for a job that ran to its end.
 	Succeeded func(organisation string, addresses ...string)
-	// A step that isn't answered within its timeout is given up once a path and a retry are in hand.
 	// StepTimeout is the maximum timeout of a decode step; at an endpoint that
 	// is known to be faster the timeout is shorter. FillTimeout is the maximum
 	// timeout of a step that runs a prompt or rebuilds a cache; a shorter one
--- a/internal/supervisor/nodes.go
+++ b/internal/supervisor/nodes.go
@@ -21,11 +21,11 @@
 }
 
 // standbysPerCentre is the number of nodes of a data centre that read the store besides its
-// reader while their data is old: one may be cut off from the store with the reader.
+// reader while the nodes before them have no current data: one may be cut off from the store with the reader.
 const standbysPerCentre = 2
 
 // isStandby reports whether this node is among those that read the store themselves while
-// the nodes before them have nothing new.
+// the nodes before them have no current data.
 func (r *relayNode) isStandby() bool {
 	first := r.centreReaders(r.cfg.Settings.Centre, 1+standbysPerCentre)
 	return len(first) == 0 || slices.Contains(first, r.cfg.Settings.Address)
--- a/internal/supervisor/syncer/feed.go
+++ b/internal/supervisor/syncer/feed.go
@@ -113,7 +113,7 @@
 	roseAt time.Time
 }
 
-// observe takes the era as far as it is known now.
+// observe notes the era that is known now.
 func (e *era) observe() {
 	if current := e.current(); !e.known || current != e.seen {
 		e.rose(current)
@@ -121,7 +121,7 @@
 }
 
 // rose takes the era of a read, and reports whether the store came back from an older copy since the last
-// one or so recently that what was written since the copy may not have been written again.
+// one, or so recently that what was written since the copy may not have been written again.
 func (e *era) rose(read uint64) bool {
 	if e.known && read != e.seen {
 		e.roseAt = e.now()
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -28,8 +28,8 @@
 	// otherwise read it. Data that is updated in time never gets that old.
 	configurationAgeThreshold = 2*configurationWait + queryInterval + 400*time.Millisecond
 	tableAgeThreshold         = pollInterval + queryInterval + 250*time.Millisecond
-	// currentConfigurationAge and currentTableAge are the ages up to which data is that of a node that
-	// reads the store, unless each call takes more than 0.25 s: those of its last reads when the next ones are about to end.
+	// currentConfigurationAge and currentTableAge bound the ages of the data of a node that reads the
+	// store, just before its next reads end. They allow for calls of 0.25 s.
 	currentConfigurationAge = 2*configurationWait + 500*time.Millisecond
 	currentTableAge         = pollInterval + 500*time.Millisecond
 	// peerTimeout bounds a query to a node, and maxPeersQueried the nodes queried at
@@ -181,7 +181,7 @@
 		r := s.queryPeer(ctx, readers[0], queryOptions{report: s.cfg.Report(), fullTable: true})
 		current, readers = r.current, readers[1:]
 	}
-	// Only nodes before this one tell a standby whether it is needed: those behind it may have their data from it.
+	// The standbys before this one are queried first: those behind it may have their data from it.
 	before := slices.Index(standbys, s.cfg.Address)
 	if before < 0 {
 		before = len(standbys)
@@ -199,7 +199,7 @@
 	grouper.Sleep(ctx, queryInterval-peerCheckInterval)
 }
 
-// noteReadersLate records that the nodes that read the store before this one have only old data.
+// noteReadersLate records that the nodes that read the store before this one have no current data.
 func (s *Syncer) noteReadersLate() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -116,7 +116,7 @@
 type Syncer struct {
 	cfg Config
 
-	// mu guards writes to the atomic fields below; they are read without it.
+	// mu guards writes to the atomic fields below but for failing; they are read without it.
 	mu     sync.Mutex
 	view   atomic.Pointer[forwarder.View]
 	table  atomic.Pointer[registrar.Table]
@@ -140,7 +140,7 @@
 	reader    string
 	// lastAnswered is when another node last answered a query; zero if none has.
 	lastAnswered time.Time
-	// readersLateAt is when the nodes that read the store before this one last had only old data;
+	// readersLateAt is when the nodes that read the store before this one last had no current data;
 	// zero if they never had. Nodes that are no standby don't use it.
 	readersLateAt time.Time
 	// lostAt is when this node's reads of the endpoints last began to fail, and othersReadAt the
