--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -199,19 +199,6 @@
 	grouper.Sleep(ctx, queryInterval-peerCheckInterval)
 }
 
-// noteReadersLate records that the nodes that read the store before this one have no current data.
-func (s *Syncer) noteReadersLate() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.readersLateAt = s.cfg.Now()
-}
-
-// current reports whether this node's data is as new as that of a node that reads the store.
-func (s *Syncer) current() bool {
-	now := s.cfg.Now()
-	return now.Sub(s.tableTime()) <= currentTableAge && now.Sub(s.View().Confirmed) <= currentConfigurationAge
-}
-
 // setReader records which node reads the store for this one. After a change of the
 // reader full tables are requested: entries that the store dropped for a while may
 // be missing from one of the tables only.
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -229,35 +229,6 @@
 	})
 }
 
-// shouldRead reports whether this node reads the store itself: because it is a
-// reader, because it is a standby and those before it don't, or because its data is older than threshold by
-// directReadDelay and it gets no answers of other nodes. A starting node reads only what it has no
-// data of.
-func (s *Syncer) shouldRead(asOf time.Time, threshold time.Duration) bool {
-	late := s.cfg.Now().Sub(asOf) > threshold+directReadDelay
-	switch {
-	case s.cfg.Starting():
-		return asOf.IsZero()
-	case s.cfg.IsReader():
-		return true
-	case s.cfg.IsStandby():
-		return s.replacesReader(late)
-	}
-	return late && !s.recentlyAnswered()
-}
-
-// replacesReader reports whether a standby reads the store: for standbyPeriod after the nodes before it
-// last had only old data. Its own data doesn't tell, as that is new while it reads. late reports
-// that it is old all the same.
-func (s *Syncer) replacesReader(late bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if late {
-		s.readersLateAt = s.cfg.Now()
-	}
-	return !s.readersLateAt.IsZero() && s.cfg.Now().Sub(s.readersLateAt) < standbyPeriod
-}
-
 // noteLost records that this node's reads of the endpoints begin to fail.
 func (s *Syncer) noteLost() {
 	s.mu.Lock()
@@ -273,13 +244,6 @@
 	return !s.othersReadAt.IsZero() && s.cfg.Now().Sub(s.othersReadAt) > returnSpread
 }
 
-// recentlyAnswered reports whether another node has answered this one recently.
-func (s *Syncer) recentlyAnswered() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.lastAnswered.IsZero() && s.cfg.Now().Sub(s.lastAnswered) < answerTTL
-}
-
 // tableTime returns the time as of which the table is known; zero before the first
 // read.
 func (s *Syncer) tableTime() time.Time {
