Put back the outages and repeats of a test of restored stores

TestStandbysKeepTheTableOfARestoredStore came with 19 outages of four runs each; has ten of two without a word, to save time.

--- a/internal/supervisor/syncer/standby_test.go
+++ b/internal/supervisor/syncer/standby_test.go
@@ -115,9 +115,9 @@
 // older copy from which it came back for the current table: they list removed endpoints again, drop those
 // that the copy lacks, and tell other nodes.
 func TestStandbysKeepTheTableOfARestoredStore(t *testing.T) {
-	for outage := 600 * time.Millisecond; outage <= 6*time.Second; outage += 600 * time.Millisecond {
+	for outage := 600 * time.Millisecond; outage <= 6*time.Second; outage += 300 * time.Millisecond {
 		t.Run(outage.String(), func(t *testing.T) {
-			for range 2 {
+			for range 4 {
 				synctest.Test(t, func(t *testing.T) {
 					fl := newOutageFleet(t, 36, nil)
 					time.Sleep(5*time.Second + rand.N(time.Second))
