--- /dev/null
+++ b/review/standin2/child.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// answerLines is the number of lines of a child's answer, and lineTime the time between two.
+	answerLines = 12
+	lineTime    = 25 * time.Millisecond
+)
+
+// answerLine returns a line of the answer to a request.
+func answerLine(id string, n int) string {
+	return fmt.Sprintf("line %d of %d, pallet booking %s: confirmed by the order desk, keep this text\n", n, answerLines, id)
+}
+
+// child is a server of a plain service in a process of its own. Its answers have no length and end
+// with their connections.
+type child struct {
+	*server
+	cmd *exec.Cmd
+
+	childMu sync.Mutex
+	// begun and ended hold the requests that it began to run and that it answered as a whole.
+	begun map[string]time.Time
+	ended map[string]bool
+}
+
+// startChild starts the process of a child at its address.
+func (f *fleet) startChild(c *child) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	c.cmd = exec.Command(program, "serve", c.address, c.id)
+	c.cmd.Stderr = os.Stderr
+	c.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	out, err := c.cmd.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	if err := c.cmd.Start(); err != nil {
+		return err
+	}
+	c.born = time.Now().UnixMilli()
+	go func() {
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			word, id, _ := strings.Cut(lines.Text(), " ")
+			f.rec.line("server %s %s %s", c.id, word, id)
+			c.childMu.Lock()
+			if word == "runs" {
+				c.begun[id] = time.Now()
+			} else {
+				c.ended[id] = true
+			}
+			c.childMu.Unlock()
+		}
+	}()
+	return nil
+}
+
+// answering returns how many requests the child is answering.
+func (c *child) answering() int {
+	c.childMu.Lock()
+	defer c.childMu.Unlock()
+	return len(c.begun) - len(c.ended)
+}
+
+// serveChild is the process of a child.
+func serveChild(address, id string) int {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return unable
+	}
+	var mu sync.Mutex
+	say := func(word, request string) {
+		mu.Lock()
+		defer mu.Unlock()
+		fmt.Println(word, request)
+	}
+	err = http.Serve(ln, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		request := r.Header.Get("X-Request-Id")
+		if want := r.Header.Get("X-Expect-Instance"); want != "" && want != id {
+			w.Header().Set("X-Request-Id", request)
+			w.Header().Set("X-Instance-Id", id)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+			return
+		}
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		say("runs", request)
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Request-Id: %s\r\nX-Response-Signature: sig.%s.%s\r\nConnection: close\r\n\r\n", request, id, request)
+		for n := 1; n <= answerLines; n++ {
+			time.Sleep(lineTime)
+			if _, err := io.WriteString(conn, answerLine(request, n)); err != nil {
+				return
+			}
+		}
+		say("answered", request)
+	}))
+	fmt.Fprintln(os.Stderr, err)
+	return unable
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,9 +23,13 @@
 // scenarios are the cases by name.
 var scenarios = map[string]scenario{
 	"departure": departure,
+	"crash":     crash,
 }
 
 func main() {
+	if len(os.Args) == argsLen && os.Args[1] == "serve" {
+		os.Exit(serveChild(os.Args[2], os.Args[3]))
+	}
 	os.Exit(runCase())
 }
 
