--- a/review/standin2/child.go
+++ b/review/standin2/child.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -18,8 +19,16 @@
 	// answerLines is the number of lines of a child's answer, and lineTime the time between two.
 	answerLines = 12
 	lineTime    = 25 * time.Millisecond
+	// streamEvents is the number of events of a child's stream, and eventTime the time between two.
+	streamEvents = 40
+	eventTime    = 40 * time.Millisecond
 )
 
+// answerEvent returns an event of the stream that answers a request.
+func answerEvent(id string, n int) string {
+	return fmt.Sprintf("id: %d\ndata: %s piece %d\n\n", n, id, n)
+}
+
 // answerLine returns a line of the answer to a request.
 func answerLine(id string, n int) string {
 	return fmt.Sprintf("line %d of %d, pallet booking %s: confirmed by the order desk, keep this text\n", n, answerLines, id)
@@ -107,15 +116,32 @@
 		}
 		defer conn.Close()
 		say("runs", request)
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Request-Id: %s\r\nX-Response-Signature: sig.%s.%s\r\nConnection: close\r\n\r\n", request, id, request)
-		for n := 1; n <= answerLines; n++ {
-			time.Sleep(lineTime)
-			if _, err := io.WriteString(conn, answerLine(request, n)); err != nil {
-				return
-			}
+		if !writeAnswer(conn, r, id, request) {
+			return
 		}
 		say("answered", request)
 	}))
 	fmt.Fprintln(os.Stderr, err)
 	return unable
 }
+
+// writeAnswer writes an answer without a length: a stream or some lines. It reports whether it was
+// written as a whole.
+func writeAnswer(conn net.Conn, r *http.Request, id, request string) bool {
+	kind, pause, last, part := "text/plain", lineTime, answerLines, answerLine
+	first := 1
+	if strings.HasPrefix(r.URL.Path, "/stream/") {
+		kind, pause, last, part = "text/event-stream", eventTime, streamEvents, answerEvent
+		if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+			first = after + 1
+		}
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nX-Request-Id: %s\r\nX-Response-Signature: sig.%s.%s\r\nConnection: close\r\n\r\n", kind, request, id, request)
+	for n := first; n <= last; n++ {
+		time.Sleep(pause)
+		if _, err := io.WriteString(conn, part(request, n)); err != nil {
+			return false
+		}
+	}
+	return true
+}
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -95,6 +95,9 @@
 	req.Header.Set("X-Request-Id", x.id)
 	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+c.key)
+	if strings.HasPrefix(path, "/stream/") {
+		req.Header.Set("X-Token-Usage", fmt.Sprintf("760,%d", streamEvents))
+	}
 	c.f.rec.line("client sends %s %s %s to %s", x.id, method, path, m.name)
 	resp, err := c.http.Do(req)
 	if err == nil {
--- a/review/standin2/crash.go
+++ b/review/standin2/crash.go
@@ -19,11 +19,23 @@
 // crash kills one of three servers while it writes answers that have no length. It counts the
 // successes whose body isn't the server's whole body.
 func crash(f *fleet, trouble bool) (bool, error) {
+	return f.killAnswering(trouble, "/book/", f.countShort)
+}
+
+// crashStream is crash with streams, of which it counts those that end as complete before their
+// last event.
+func crashStream(f *fleet, trouble bool) (bool, error) {
+	return f.killAnswering(trouble, "/stream/", f.countUnfinished)
+}
+
+// killAnswering kills one of three servers while it answers requests to a path, until count finds
+// an exchange that breaks the rule.
+func (f *fleet) killAnswering(trouble bool, path string, count func(*clients) int) (bool, error) {
 	if err := f.addSmall(); err != nil {
 		return false, err
 	}
 	f.configure(3, map[string][]string{"hule930": {key}}, []string{"order-desk"},
-		route{"book", "/book/", "non_idempotent", "order-desk", 2000, 1000, 1})
+		route{"book", "/book/", "non_idempotent", "order-desk", 2000, 1000, 1}, route{"stream", "/stream/", "streaming", "order-desk", 20000, 500, 2})
 	var all []*child
 	defer func() {
 		for _, c := range all {
@@ -55,7 +67,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			cl.load(ctx, zone, 6, "POST", "/book/", "eight pallets", 4*time.Second)
+			cl.load(ctx, zone, 6, "POST", path, "eight pallets", 4*time.Second)
 		}()
 	}
 	time.Sleep(4 * time.Second)
@@ -79,12 +91,12 @@
 			}
 		}
 		time.Sleep(2 * time.Second)
-		short = f.countShort(cl)
+		short = count(cl)
 	}
 	cancel()
 	wg.Wait()
-	short = f.countShort(cl)
-	f.rec.say("%d bookings were answered, %d of them with a success that lacks the end of the server's body", len(cl.exchanges()), short)
+	short = count(cl)
+	f.rec.say("%d requests were answered, %d of them with a success that lacks the end of the server's answer", len(cl.exchanges()), short)
 	return short > 0, nil
 }
 
@@ -106,3 +118,18 @@
 	}
 	return short
 }
+
+// countUnfinished counts the streams that ended as complete before their last event.
+func (f *fleet) countUnfinished(cl *clients) int {
+	unfinished := 0
+	for _, x := range cl.exchanges() {
+		if x.status != 200 || x.err != nil {
+			continue
+		}
+		if events := strings.Count(x.body, "\n\n"); events < streamEvents {
+			unfinished++
+			f.rec.say("stream %s by %s: 200, signed %v, complete for the client with %d of %d events", x.id, x.machine.name, x.signed, events, streamEvents)
+		}
+	}
+	return unfinished
+}
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -256,7 +256,7 @@
 	for _, r := range routes {
 		list = append(list, map[string]any{
 			"name": r.name, "host": host, "path-prefix": r.prefix, "kind": r.kind, "service": r.service, "timeout-ms": r.timeout,
-			"target-latency-ms": r.target, "max-attempts": r.attempts, "priority": 2,
+			"target-latency-ms": r.target, "max-attempts": r.attempts, "priority": 2, "resumable": r.kind == "streaming",
 		})
 	}
 	doc["routes"] = list
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -24,6 +24,7 @@
 var scenarios = map[string]scenario{
 	"departure": departure,
 	"crash":     crash,
+	"stream":    crashStream,
 }
 
 func main() {
