--- a/review/standin2/child.go
+++ b/review/standin2/child.go
@@ -103,10 +103,10 @@
 		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		request := r.Header.Get("X-Request-Id")
-		if want := r.Header.Get("X-Expect-Instance"); want != "" && want != id {
-			w.Header().Set("X-Request-Id", request)
-			w.Header().Set("X-Instance-Id", id)
+		request := r.Header.Get(names.RequestID)
+		if want := r.Header.Get(names.Expect); want != "" && want != id {
+			w.Header().Set(names.RequestID, request)
+			w.Header().Set(names.Instance, id)
 			w.WriteHeader(http.StatusMisdirectedRequest)
 			return
 		}
@@ -136,7 +136,8 @@
 			first = after + 1
 		}
 	}
-	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nX-Request-Id: %s\r\nX-Response-Signature: sig.%s.%s\r\nConnection: close\r\n\r\n", kind, request, id, request)
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\n%s: %s\r\n%s: sig.%s.%s\r\nConnection: close\r\n\r\n",
+		kind, names.RequestID, request, names.Signature, id, request)
 	for n := first; n <= last; n++ {
 		time.Sleep(pause)
 		if _, err := io.WriteString(conn, part(request, n)); err != nil {
--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -50,7 +50,7 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	q := url.Values{"name": {host}, "region": {"gauteng"}, "zone": {zone}}
-	target := "http://" + net.JoinHostPort(m.ip, fmt.Sprint(c.f.ports.directory)) + "/v1/resolve?" + q.Encode()
+	target := "http://" + net.JoinHostPort(m.ip, fmt.Sprint(c.f.ports.directory)) + names.Resolve + "?" + q.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
 	if err != nil {
 		return nil
@@ -92,11 +92,11 @@
 		return x
 	}
 	req.Host = host
-	req.Header.Set("X-Request-Id", x.id)
-	req.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	req.Header.Set(names.RequestID, x.id)
+	req.Header.Set(names.Deadline, fmt.Sprint(deadline.Milliseconds()))
 	req.Header.Set("Authorization", "Bearer "+c.key)
 	if strings.HasPrefix(path, "/stream/") {
-		req.Header.Set("X-Token-Usage", fmt.Sprintf("760,%d", streamEvents))
+		req.Header.Set(names.Tokens, fmt.Sprintf("760,%d", streamEvents))
 	}
 	c.f.rec.line("client sends %s %s %s to %s", x.id, method, path, m.name)
 	resp, err := c.http.Do(req)
@@ -104,7 +104,7 @@
 		data, readErr := io.ReadAll(resp.Body)
 		resp.Body.Close()
 		x.body, x.err = string(data), readErr
-		x.status, x.signed = resp.StatusCode, resp.Header.Get("X-Response-Signature") != ""
+		x.status, x.signed = resp.StatusCode, resp.Header.Get(names.Signature) != ""
 	} else {
 		x.err = err
 	}
--- a/review/standin2/departure.go
+++ b/review/standin2/departure.go
@@ -104,9 +104,9 @@
 // depart removes a server's entry while the store turns the reader of the server's zone away. It
 // returns the reader, and when the store accepted the removal.
 func (f *fleet) depart(leaver *server, trouble bool) (*machine, time.Time) {
-	before := f.store.reads("keyed.servers")
+	before := f.store.reads(names.Servers)
 	time.Sleep(2*time.Second + rand.N(600*time.Millisecond))
-	after := f.store.reads("keyed.servers")
+	after := f.store.reads(names.Servers)
 	reader := f.machines[0]
 	for _, m := range f.machines {
 		if m.zone == leaver.zone && after[m.n]-before[m.n] > after[reader.n]-before[reader.n] {
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -194,7 +194,7 @@
 func (f *fleet) ready(m *machine) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	url := "http://" + net.JoinHostPort(m.ip, fmt.Sprint(f.ports.readiness)) + "/v1/ready"
+	url := "http://" + net.JoinHostPort(m.ip, fmt.Sprint(f.ports.readiness)) + names.Ready
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
 		return false
@@ -255,8 +255,8 @@
 	var list []map[string]any
 	for _, r := range routes {
 		list = append(list, map[string]any{
-			"name": r.name, "host": host, "path-prefix": r.prefix, "kind": r.kind, "service": r.service, "timeout-ms": r.timeout,
-			"target-latency-ms": r.target, "max-attempts": r.attempts, "priority": 2, "resumable": r.kind == "streaming",
+			"name": r.name, "host": host, names.PathPrefix: r.prefix, "kind": r.kind, "service": r.service, "timeout-ms": r.timeout,
+			names.TargetLatency: r.target, names.MaxAttempts: r.attempts, "priority": 2, "resumable": r.kind == "streaming",
 		})
 	}
 	doc["routes"] = list
@@ -267,14 +267,14 @@
 	doc["services"] = named
 	var tenants []map[string]any
 	for name, k := range keys {
-		tenants = append(tenants, map[string]any{"name": name, "api-keys": k})
+		tenants = append(tenants, map[string]any{"name": name, names.APIKeys: k})
 	}
 	doc["tenants"] = tenants
 	data, err := json.Marshal(doc)
 	if err != nil {
 		panic(err) // maps of strings and numbers always encode
 	}
-	at := f.store.put("keyed.op", "config", data)
+	at := f.store.put(names.Config, "config", data)
 	f.rec.say("the store accepted configuration %d", version)
 	return at
 }
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -56,7 +56,7 @@
 	v.seq++
 	data, err := json.Marshal(map[string]any{
 		"service": v.service, "address": v.address, "zone": v.zone, "version": "v1", "slots": v.slots,
-		"state": v.state, "cold-remaining-ms": 0, "seq": v.seq, "born": v.born,
+		"state": v.state, names.ColdRemaining: 0, "seq": v.seq, "born": v.born,
 	})
 	if err != nil {
 		panic(err) // strings and numbers always encode
@@ -73,7 +73,7 @@
 		if gone {
 			return
 		}
-		s.put("keyed.servers", v.id, v.entry())
+		s.put(names.Servers, v.id, v.entry())
 		time.Sleep(heartbeat)
 	}
 }
@@ -85,7 +85,7 @@
 	v.gone = true
 	v.mu.Unlock()
 	time.Sleep(20 * time.Millisecond) // an entry that is being written
-	return s.put("keyed.servers", v.id, nil)
+	return s.put(names.Servers, v.id, nil)
 }
 
 // serve answers a request.
@@ -94,21 +94,21 @@
 	if err != nil {
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
+	id := r.Header.Get(names.RequestID)
 	if id != "" {
-		w.Header().Set("X-Request-Id", id)
+		w.Header().Set(names.RequestID, id)
 	}
-	if want := r.Header.Get("X-Expect-Instance"); want != "" && want != v.id {
-		w.Header().Set("X-Instance-Id", v.id)
+	if want := r.Header.Get(names.Expect); want != "" && want != v.id {
+		w.Header().Set(names.Instance, v.id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	if r.URL.Path == "/health" {
-		w.Header().Set("X-Instance-Id", v.id)
+		w.Header().Set(names.Instance, v.id)
 		return
 	}
 	v.mu.Lock()
-	v.runs = append(v.runs, run{id: id, tenant: r.Header.Get("X-Tenant"), at: time.Now()})
+	v.runs = append(v.runs, run{id: id, tenant: r.Header.Get(names.Tenant), at: time.Now()})
 	v.mu.Unlock()
 	v.rec.line("server %s runs %s %s of %s", v.id, r.Method, r.URL.RequestURI(), id)
 	if v.handle != nil {
@@ -121,7 +121,7 @@
 		return
 	}
 	answer := fmt.Sprintf("%s %s by %s for %s: %d bytes\n", r.Method, r.URL.RequestURI(), v.id, id, len(body))
-	w.Header().Set("X-Response-Signature", "sig."+v.id+"."+id)
+	w.Header().Set(names.Signature, "sig."+v.id+"."+id)
 	w.Header().Set("Content-Length", fmt.Sprint(len(answer)))
 	_, _ = io.WriteString(w, answer)
 }
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -121,9 +121,9 @@
 // listen serves a machine's calls at an address.
 func (s *store) listen(machine int, ln net.Listener) {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /v1/log-append", s.serveAppend)
-	mux.HandleFunc("GET /v1/log-read", s.serveRead)
-	mux.HandleFunc("GET /v1/log-newest", s.serveNewest)
+	mux.HandleFunc("POST "+names.Append, s.serveAppend)
+	mux.HandleFunc("GET "+names.Read, s.serveRead)
+	mux.HandleFunc("GET "+names.Newest, s.serveNewest)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, err := io.ReadAll(r.Body) // also lets the end of the connection be noticed
 		if err != nil {
