--- a/review/standin2/names.go
+++ b/review/standin2/names.go
@@ -11,8 +11,8 @@
 //go:embed names.json
 var namesFile []byte
 
-// names holds the names of headers, paths, topics and fields.
-var names = func() (n struct {
+// protocol holds the names of headers, paths, topics and fields.
+type protocol struct {
 	RequestID     string
 	Deadline      string
 	Tokens        string
@@ -32,7 +32,9 @@
 	MaxAttempts   string
 	ColdRemaining string
 	Resolve       string
-}) {
+}
+
+var names = func() (n protocol) {
 	if err := json.Unmarshal(namesFile, &n); err != nil {
 		panic(err)
 	}
