Tell a reset during an upload from the end of an answer

Callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset once. net/http writes a request beside reading its answer. If the write gets ECONNRESET, the next read returns 0 as it does after an orderly close, and the end of the connection is the end of a body without framing.

Change: driver.NewTransport opens all connections on which answers of endpoints and of the platform are read, and Service.Once uses the same connections. They keep the error of a write that failed; a read that reports the end afterwards returns that error. The write's system call and the record of its error are one step under a mutex: otherwise the read may come between them. EPIPE as the first error means that the peer closed the connection before it reset it, so that all it sent has arrived, and such an answer stays complete.

Ruled out: not to believe any answer without framing before the request has been written. It loses early answers that are whole, and whose connection is closed.

Handled before and only tested: Service.Once fails with the write, Relay.Send whose body is read 40 ms after the head, and reports, orders and changes of a path, which are small enough to be written at once (TestResetAnswerToAnOrder). Early answers that are sound are taken before and after (TestEarlyAnswerIsTaken, TestEarlyAnswerIsPassedOn).

--- a/internal/driver/head.go
+++ b/internal/driver/head.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"regexp"
@@ -18,12 +19,23 @@
 	headInBody = regexp.MustCompile(`^` + statusLine.String())
 )
 
-// Transport is an http.Transport that fails for a head that has the start of another one. Heads
-// on connections of bounder.Dial count against the connections' pool until the body is closed.
+// Transport is an http.Transport that fails for answers that aren't sound: those whose head is not
+// that of one answer, and those whose connection broke off. All answers of endpoints and of the
+// platform are read through it or by Service.Once, which checks the same.
 type Transport struct {
-	*http.Transport
+	transport *http.Transport
 }
 
+// NewTransport makes t a Transport whose connections dialer opens. Heads count against the pool until
+// the body is closed; with no pool they don't count.
+func NewTransport(t *http.Transport, dialer *net.Dialer, pool *bounder.Pool) Transport {
+	t.DialContext = dial(dialer.DialContext, pool)
+	return Transport{transport: t}
+}
+
+// CloseIdleConnections closes the connections that no request uses.
+func (t Transport) CloseIdleConnections() { t.transport.CloseIdleConnections() }
+
 // RoundTrip sends a request once and returns the answer.
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var head atomic.Pointer[bounder.Head]
@@ -34,7 +46,7 @@
 			}
 		}
 	}})
-	resp, err := t.Transport.RoundTrip(req.WithContext(ctx))
+	resp, err := t.transport.RoundTrip(req.WithContext(ctx))
 	h := head.Load()
 	if err != nil {
 		if h != nil {
--- a/internal/driver/once.go
+++ b/internal/driver/once.go
@@ -78,7 +78,8 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "dialling %s", address)
 	}
-	conn := &callConn{Conn: raw, counted: bounder.NewConn(raw, pool)}
+	guarded := newConn(raw)
+	conn := &callConn{Conn: guarded, counted: bounder.NewConn(guarded, pool)}
 	conn.r = bufio.NewReader(conn)
 	return conn, nil
 }
--- a/internal/driver/pool.go
+++ b/internal/driver/pool.go
@@ -60,14 +60,14 @@
 func newClient(b bounder.Budget) (*http.Client, *http.Transport) {
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAliveInterval}
 	transport := &http.Transport{
-		DialContext:            bounder.Dial(dialer.DialContext, b.Calls),
 		DisableCompression:     true,
 		MaxConnsPerHost:        maxConnsPerHost,
 		MaxIdleConnsPerHost:    maxIdlePerHost,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 		IdleConnTimeout:        idleTimeout,
 	}
-	return &http.Client{Transport: Transport{transport}, CheckRedirect: refuseRedirect}, transport
+	client := &http.Client{Transport: NewTransport(transport, dialer, b.Calls), CheckRedirect: refuseRedirect}
+	return client, transport
 }
 
 // refuseRedirect makes the client return a redirect as the response.
--- a/internal/provider/client.go
+++ b/internal/provider/client.go
@@ -52,12 +52,11 @@
 func New(cfg Config) *Client {
 	cfg.Budget = cfg.Budget.OrDefault()
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Transport: driver.Transport{Transport: &http.Transport{
-			DialContext:            bounder.Dial((&net.Dialer{}).DialContext, cfg.Budget.Control),
+		cfg.HTTP = &http.Client{Transport: driver.NewTransport(&http.Transport{
 			MaxResponseHeaderBytes: maxHeadBytes,
 			MaxIdleConnsPerHost:    16,
 			IdleConnTimeout:        30 * time.Second,
-		}}}
+		}, &net.Dialer{}, cfg.Budget.Control)}
 	}
 	return &Client{cfg: cfg}
 }
