Make a test's peer wait for unread data before it closes

TestPartBeforeAResetDuringTheUpload failed once in five runs under the race detector: a step got its answer from a peer that was to reset the connection by closing it with unread data.

Traced on a scratch copy, 24 runs, four at a time: in the one that failed the peer had no unread data when it closed (TIOCINQ 0), and no write of the client had failed when it read the end. The client had stalled for 20 ms, and the kernel closed the connection in order.

--- a/internal/driver/early_test.go
+++ b/internal/driver/early_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // uploadBytes is more than the socket buffers of both sides take, so that a request of this size is
@@ -80,6 +82,16 @@
 // endPause is the time after which the answer has arrived, while the call is still being written.
 const endPause = 20 * time.Millisecond
 
+// awaitUnread waits until a connection has data that has not been read. Without any, the kernel would
+// close the connection and not reset it.
+func awaitUnread(conn *net.TCPConn) {
+	raw, err := conn.SyscallConn()
+	for unread := 0; err == nil && unread == 0; time.Sleep(endPause) {
+		controlErr := raw.Control(func(fd uintptr) { unread, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+		err = errors.Join(err, controlErr)
+	}
+}
+
 // Ways in which a peer ends a connection whose call it has not read.
 var (
 	// cutOffs reset the connection; without linger the kernel does so since there is unread data.
@@ -89,7 +101,7 @@
 			time.Sleep(endPause)
 			_ = conn.SetLinger(0)
 		},
-		"closed with unread data": func(*net.TCPConn) { time.Sleep(endPause) },
+		"closed with unread data": awaitUnread,
 	}
 	// closes close the connection after all that was sent.
 	closes = map[string]func(conn *net.TCPConn){
