Serve whole answers that arrive before an upload fails

Callers saw: a server that answers an upload before it has read it, whole and with framing, and then resets or closes the connection, as one does that refuses a request by its head. The node often lost that answer and counted the server as failed.

Cause: net/http closes a connection whose write fails, although the answer may have arrived and only waits to be read. Service.Once gave up at the failed write and read nothing.

Change: a write that fails returns once the reader has got to the end of what arrived, or the connection is closed; the reader decides. Service.Once reads the answer behind a failed write. Its error still is not Unsent, so that nothing is sent again.

Ruled out: to report such writes as successful. net/http tells by the error and the bytes written whether a request on a kept connection was sent.

--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -26,11 +26,17 @@
 	mu sync.Mutex
 	// failed is the error of the first write that failed; nil if none did.
 	failed error
+
+	// readEnded is closed once nothing more is read; nil if reads begin after the writes. A write that
+	// fails returns after that: net/http closes a connection whose write fails, although the answer
+	// may have arrived and only waits to be read.
+	readEnded chan struct{}
+	endOnce   sync.Once
 }
 
-// newConn returns a connection that keeps the errors of its writes. One without a socket is returned
-// as it is.
-func newConn(c net.Conn) net.Conn {
+// newConn returns a connection that keeps the errors of its writes. concurrent is set if it is read
+// while it is written. One without a socket is returned as it is.
+func newConn(c net.Conn, concurrent bool) net.Conn {
 	sys, ok := c.(syscall.Conn)
 	if !ok {
 		return c
@@ -39,7 +45,11 @@
 	if err != nil {
 		return c
 	}
-	return &conn{Conn: c, raw: raw}
+	kept := &conn{Conn: c, raw: raw}
+	if concurrent {
+		kept.readEnded = make(chan struct{})
+	}
+	return kept
 }
 
 // SyscallConn returns the socket.
@@ -66,6 +76,9 @@
 		return true
 	})
 	if failed != nil {
+		if c.readEnded != nil {
+			<-c.readEnded
+		}
 		err = failed
 	}
 	return written, err
@@ -85,6 +98,9 @@
 // Read reads from the connection. It returns io.EOF only if the peer closed the connection.
 func (c *conn) Read(data []byte) (int, error) {
 	n, err := c.Conn.Read(data)
+	if err != nil {
+		defer c.endReads()
+	}
 	if errors.Is(err, io.EOF) {
 		if cause := c.brokenOff(); cause != nil {
 			err = trace.ConnectionProblem(cause, "the connection broke off while the request was written")
@@ -93,6 +109,19 @@
 	return n, err
 }
 
+// Close closes the connection.
+func (c *conn) Close() error {
+	defer c.endReads()
+	return c.Conn.Close()
+}
+
+// endReads says that nothing more is read. It may be called more than once.
+func (c *conn) endReads() {
+	if c.readEnded != nil {
+		c.endOnce.Do(func() { close(c.readEnded) })
+	}
+}
+
 // brokenOff returns why the connection ended before the peer closed it; nil if it didn't. The first
 // write that fails does so with EPIPE if the peer closed the connection before it reset it: all that
 // the peer sent has arrived then.
@@ -113,7 +142,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newConn(c), nil
+		return newConn(c, true), nil
 	}
 	if pool == nil {
 		return keeping
--- a/internal/driver/early_test.go
+++ b/internal/driver/early_test.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"strings"
@@ -140,17 +142,33 @@
 }
 
 // Guards against sound answers that are lost since they arrive before the call has been read: those
-// with framing, and those without whose connection is closed after them.
+// without framing whose connection is closed after them, and those with framing however it ends.
 func TestEarlyAnswerIsTaken(t *testing.T) {
+	const calls = 5
+	// Longer than what is read from a connection at once.
+	long := "{}" + strings.Repeat(" ", 10000)
 	answers := map[string]string{
-		"length":  "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{}",
-		"chunks":  "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
-		"neither": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}",
+		"length":      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}",
+		"chunks":      "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+		"long answer": fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(long), long),
+		"neither":     "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}",
 	}
 	for framing, answer := range answers {
-		for way, call := range uploads(t) {
-			if err := call(earlyPeer(t, answer, closes["closed, the call is read"])); err != nil {
-				t.Errorf("%s, %s: got error %v", way, framing, err)
+		ends := maps.Clone(closes)
+		if framing != "neither" {
+			maps.Copy(ends, cutOffs)
+		}
+		for ended, end := range ends {
+			for way, call := range uploads(t) {
+				t.Run(fmt.Sprintf("%s, %s, %s", way, framing, ended), func(t *testing.T) {
+					t.Parallel()
+					address := earlyPeer(t, answer, end)
+					for range calls {
+						if err := call(address); err != nil {
+							t.Errorf("got error %v, want the answer", err)
+						}
+					}
+				})
 			}
 		}
 	}
--- a/internal/driver/once.go
+++ b/internal/driver/once.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -30,12 +31,15 @@
 	defer conn.Close()
 	stop := conn.abortOnDone(ctx)
 	defer stop()
-	if err := conn.send(req); err != nil {
-		return Answer{}, err
+	sendErr := conn.send(req)
+	var unsent *Unsent
+	if errors.As(sendErr, &unsent) {
+		return Answer{}, sendErr
 	}
+	// A service that doesn't read all of the call may have answered it before.
 	resp, err := conn.receive(req)
 	if err != nil {
-		return Answer{}, trace.ConnectionProblem(err, "waiting for the response from %s", address)
+		return Answer{}, trace.ConnectionProblem(errors.Join(sendErr, err), "waiting for the response from %s", address)
 	}
 	defer conn.head.Release()
 	return s.newAnswer(resp, address)
@@ -78,7 +82,7 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "dialling %s", address)
 	}
-	guarded := newConn(raw)
+	guarded := newConn(raw, false)
 	conn := &callConn{Conn: guarded, counted: bounder.NewConn(guarded, pool)}
 	conn.r = bufio.NewReader(conn)
 	return conn, nil
