Refuse answers whose status line is none of HTTP/1

Reported: a server in trouble sent an answer whose status was 000, and the client got it as an answer. An answer with status 000 that bears the mark that the request did not run was believed: a booking went to a second endpoint, and a stream that may not be resumed too. A 000 or 099 without the mark was handled: callers got a failure.

Cause: net/http takes any three digits for a status, and any version. Relay.Send returned them, and the checks behind it asked for a status of 200 or more, after they had read the mark.

Change: checkHead, which Transport and Service.Once call for each head, refuses a version other than HTTP/1.x and a status outside 100 to 599 (RFC 9110, section 15).

Reports, orders and the store refused such statuses before: they ask for 200 or 202.

--- a/internal/driver/head.go
+++ b/internal/driver/head.go
@@ -81,10 +81,35 @@
 // write a second answer; the two read as one if the first is cut off within its reason phrase
 // or a value.
 func checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return trace.BadParameter("the answer is of %.40q", resp.Proto)
+	}
 	if statusLine.MatchString(resp.Status) {
 		return trace.BadParameter("the status %.40q has the head of another answer", resp.Status)
 	}
-	for name, values := range resp.Header {
+	if err := checkStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return checkHeader(resp.Header)
+}
+
+// The statuses of HTTP (RFC 9110, section 15). net/http takes any three digits for one.
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// checkStatus checks that a status is one of HTTP.
+func checkStatus(status int) error {
+	if status < minStatus || status > maxStatus {
+		return trace.BadParameter("%03d is no status of HTTP", status)
+	}
+	return nil
+}
+
+// checkHeader checks that no value of a header has the head of another answer.
+func checkHeader(header http.Header) error {
+	for name, values := range header {
 		for _, value := range values {
 			if statusLine.MatchString(value) {
 				return trace.BadParameter("the header %.40s has the head of another answer", name)
--- a/internal/provider/client_test.go
+++ b/internal/provider/client_test.go
@@ -31,13 +31,9 @@
 	return "http://" + ln.Addr().String()
 }
 
-// Guards against an answer of the platform that is cut off within its head and followed by a
-// failure, and that is taken for an append that succeeded, a page without records or an empty
-// list.
-func TestSecondAnswerWithinAHead(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Long: a\r\n b\r\n\r\n"
-	const second = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 22\r\n\r\n{\"reason\":\"not ready\"}"
-	calls := map[string]func(ctx context.Context, c *Client) error{
+// platformCalls are the calls of the platform.
+func platformCalls() map[string]func(ctx context.Context, c *Client) error {
+	return map[string]func(ctx context.Context, c *Client) error{
 		"append": func(ctx context.Context, c *Client) error {
 			_, err := c.Log().Append(ctx, "s", []byte("x"))
 			return err
@@ -51,7 +47,28 @@
 			return err
 		},
 	}
-	for name, call := range calls {
+}
+
+// Guards against an answer of the platform that is taken for one although its status line is none of
+// HTTP.
+func TestStatusOutsideHTTP(t *testing.T) {
+	for name, call := range platformCalls() {
+		for _, line := range []string{"HTTP/1.1 000 X", "HTTP/1.1 999 X", "HTTP/2.0 200 OK"} {
+			text := line + "\r\nContent-Length: 2\r\n\r\n{}"
+			if err := call(t.Context(), New(Config{URL: answerOnce(t, text)})); err == nil {
+				t.Errorf("%s, %q: got success, want an error", name, text)
+			}
+		}
+	}
+}
+
+// Guards against an answer of the platform that is cut off within its head and followed by a
+// failure, and that is taken for an append that succeeded, a page without records or an empty
+// list.
+func TestSecondAnswerWithinAHead(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Long: a\r\n b\r\n\r\n"
+	const second = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 22\r\n\r\n{\"reason\":\"not ready\"}"
+	for name, call := range platformCalls() {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for n := 1; n < len(head)-1; n++ {
