Refuse answers with a line in their head that is no header

Callers saw: a server in trouble sent an answer in whose head the name of a field held a blank. The client got it as an answer, with that line passed on. "Content-Length : 4" made the end of the connection the end of the body; after "Transfer-Encoding : chunked" the body held the sizes of the chunks.

Cause: net/http keeps a name that holds a blank as it is, and doesn't know it as one that frames the body. It refuses the other characters that names must not have: those answers were handled.

Change: checkHead refuses names that aren't tokens (RFC 9110, section 5.6.2). Transport, Service.Once and its probe call it for each head.

Handled before and only tested: control bytes, a tab, 0x7f, 0x80, a parenthesis, an empty name, a line that begins with a blank and one without a colon. With the change all pass; TestSoundHeadIsTaken has sound heads.

--- a/internal/driver/head.go
+++ b/internal/driver/head.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"regexp"
+	"strings"
 	"sync/atomic"
 
 	"github.com/gravitational/trace"
@@ -107,9 +108,17 @@
 	return nil
 }
 
-// checkHeader checks that no value of a header has the head of another answer.
+// tokenChars are the characters of the names of headers (RFC 9110, section 5.6.2).
+const tokenChars = "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz"
+
+// checkHeader checks that names are tokens and that no value has the head of another answer. net/http
+// keeps names that hold a blank. It doesn't know them as those that frame the body, whose end would
+// then be another one than the endpoint's.
 func checkHeader(header http.Header) error {
 	for name, values := range header {
+		if name == "" || strings.Trim(name, tokenChars) != "" {
+			return trace.BadParameter("%.40q is no name of a header", name)
+		}
 		for _, value := range values {
 			if statusLine.MatchString(value) {
 				return trace.BadParameter("the header %.40s has the head of another answer", name)
--- a/internal/driver/head_test.go
+++ b/internal/driver/head_test.go
@@ -55,3 +55,37 @@
 		}
 	}
 }
+
+// Guards against an answer in whose head a line is no header: the line would be passed on or, if it
+// frames the body, the body would not be the endpoint's.
+func TestNamesOfHeaders(t *testing.T) {
+	const chunk = "2\r\n{}\r\n0\r\n\r\n"
+	const length = "Content-Length: 2\r\n"
+	for _, rest := range []string{
+		"Content-Length : 2\r\n\r\n{}", "Transfer-Encoding : chunked\r\n\r\n" + chunk, "X : v\r\nContent-Length : 2\r\n\r\n{}",
+		length + "X Bad: v\r\n\r\n{}", "X Bad: v\r\n" + length + "\r\n{}", length + "X\tBad: v\r\n\r\n{}", length + "X-Bad\t: v\r\n\r\n{}",
+		length + "X\x01Bad: v\r\n\r\n{}", length + "X\x00Bad: v\r\n\r\n{}", length + "X\x7fBad: v\r\n\r\n{}", length + "X\x80Bad: v\r\n\r\n{}",
+		length + "X\rBad: v\r\n\r\n{}", length + "X(Bad): v\r\n\r\n{}", length + ": v\r\n\r\n{}", length + " : v\r\n\r\n{}",
+		" X-Bad: v\r\n" + length + "\r\n{}", length + "X-Bad\r\n\r\n{}",
+	} {
+		t.Run(fmt.Sprintf("%q", rest), func(t *testing.T) {
+			t.Parallel()
+			checkUnsound(t, "HTTP/1.1 200 OK\r\n"+rest)
+		})
+	}
+}
+
+// Guards against sound heads that are refused: all characters of tokens are allowed in names.
+func TestSoundHeadIsTaken(t *testing.T) {
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n" + tokenChars + ": v\r\nx: \x80\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 200\r\nX-Empty:\r\nX-Blank: \r\n",
+		"HTTP/1.1 200 OK\nX-Folded: a\r\n b\r\n", "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n",
+	} {
+		for way, call := range cutCalls(t) {
+			p := newPeer(t, &peer{status: answerOK, answer: always(head + "Content-Length: 2\r\n\r\n{}" + hangUp)})
+			if err := call(p.address); err != nil {
+				t.Errorf("%s, %q: got error %v, want the answer", way, head, err)
+			}
+		}
+	}
+}
--- a/internal/provider/client_test.go
+++ b/internal/provider/client_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// Guards against an answer of the platform with a line in its head that is no header.
+func TestNamesOfHeaders(t *testing.T) {
+	for name, call := range platformCalls() {
+		for _, line := range []string{"X Bad: v", "Content-Length : 2", "X\x01Bad: v"} {
+			text := "HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n{}"
+			if err := call(t.Context(), New(Config{URL: answerOnce(t, text)})); err == nil {
+				t.Errorf("%s, %q: got success, want an error", name, text)
+			}
+		}
+	}
+}
+
 // Guards against an answer of the platform that is cut off within its head and followed by a
 // failure, and that is taken for an append that succeeded, a page without records or an empty
 // list.
