Check the heads of answers that other nodes hand on

A node that reads an answer for another one checks its head. One of an earlier build, beside which a new one runs while machines are replaced, hands on a status outside HTTP, a name that holds a blank, or a refusal with status 000 that says that the request did not run.

The node that gets the reply now checks status and header as for a head that it has read itself (Reply.CheckHead). Its failure counts as a request that may have run. A part that an earlier build took for a whole body can't be told: it sends the end of the body.

--- a/internal/driver/relay.go
+++ b/internal/driver/relay.go
@@ -83,6 +83,15 @@
 	Via string `cbor:"-"`
 }
 
+// CheckHead checks of a response that another node has read what is checked of the head of one that is
+// read here: the node may be of an earlier build.
+func (r Reply) CheckHead() error {
+	if err := checkStatus(r.Status); err != nil {
+		return err
+	}
+	return checkHeader(r.Header)
+}
+
 // Authentic reports whether the response is the endpoint's. Its failures may be unsigned; one
 // that doesn't repeat the request's ID either comes from another program at the address.
 func (r Reply) Authentic() bool {
--- a/internal/supervisor/detourer/client.go
+++ b/internal/supervisor/detourer/client.go
@@ -117,6 +117,11 @@
 		conn.Close()
 		return driver.Reply{}, trace.BadParameter("node %s sent no reply", helper)
 	}
+	if err := m.Reply.CheckHead(); err != nil {
+		conn.Close()
+		d.cfg.Counters.Stages.Add("detours_failed", 1)
+		return driver.Reply{}, trace.Wrap(err, "reading an answer by way of node %s", helper)
+	}
 	d.cfg.Counters.Stages.Add("detours", 1)
 	reply := *m.Reply
 	reply.Via, reply.Body = helper, &body{conn: *conn}
--- a/internal/supervisor/detourer/result_test.go
+++ b/internal/supervisor/detourer/result_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 
@@ -49,3 +52,37 @@
 		})
 	}
 }
+
+// Guards against an answer that a node of an earlier build hands on although its head is none of
+// HTTP, or says that the request did not run.
+func TestUnsoundHeadOfAnotherNode(t *testing.T) {
+	replies := map[string]driver.Reply{
+		"status 000":              {Status: 0, Signed: true},
+		"status 099":              {Status: 99, Signed: true, Echoed: true, NotRun: true},
+		"status 999":              {Status: 999, Signed: true},
+		"a blank in a name":       {Status: 200, Signed: true, Header: http.Header{"X Bad": {"v"}}},
+		"a blank after the name":  {Status: 200, Signed: true, Header: http.Header{"Transfer-Encoding ": {"chunked"}}},
+		"a control byte":          {Status: 200, Signed: true, Header: http.Header{"X\x01Bad": {"v"}}},
+		"the head of another one": {Status: 200, Signed: true, Header: http.Header{"X-Long": {"aHTTP/1.1 500 X"}}},
+	}
+	for name, reply := range replies {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld("a", "b", "c")
+				w.cut(w.refused, "a", true, endpoints...)
+				w.answer = func(context.Context) (driver.Reply, error) {
+					r := reply
+					r.Body = io.NopCloser(strings.NewReader("whole"))
+					return r, nil
+				}
+				got, err := w.nodes["a"].Relay().Send(t.Context(), endpoints[0], driver.Forward{ID: "r"})
+				if err == nil || isUnsent(err) || got.NotRun {
+					t.Errorf("got %+v, %v, want an error that doesn't say that the request did not run", got, err)
+				}
+				if got, want := len(w.arrivals), 1; got != want {
+					t.Errorf("arrivals: got %v, want one", w.arrivals)
+				}
+			})
+		})
+	}
+}
