Make the tool read answers as nodes do

The command-line tool had a transport of its own, without the checks of heads: on it says that a change was accepted when the answer is of HTTP/2.0 in text, or has a name that holds a blank (TestUnsoundAnswers). It now uses driver.NewTransport. A status outside HTTP, a control byte, a reset and a part of a body were handled before and are only tested.

The tool speaks HTTP/1.1 to nodes with https, too: a transport with a dial function of its own doesn't offer HTTP/2. Nodes don't serve it.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -7,11 +7,13 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
 	"github.com/alexflint/go-arg"
 
+	"banyanquay/internal/driver"
 	"banyanquay/internal/refuser"
 )
 
@@ -55,10 +57,10 @@
 // New returns a commander.
 func New(cfg Config) *Commander {
 	if cfg.HTTP == nil {
-		cfg.HTTP = &http.Client{Transport: &http.Transport{
+		cfg.HTTP = &http.Client{Transport: driver.NewTransport(&http.Transport{
 			Proxy:                 http.ProxyFromEnvironment,
 			ResponseHeaderTimeout: responseHeaderTimeout,
-		}}
+		}, &net.Dialer{}, nil)}
 	}
 	if cfg.PollInterval <= 0 {
 		cfg.PollInterval = defaultPollInterval
--- a/internal/driver/head.go
+++ b/internal/driver/head.go
@@ -21,8 +21,8 @@
 )
 
 // Transport is an http.Transport that fails for answers that aren't sound: those whose head is not
-// that of one answer, and those whose connection broke off. All answers of endpoints and of the
-// platform are read through it or by Service.Once, which checks the same.
+// that of one answer, and those whose connection broke off. All answers of endpoints, of the
+// platform and, by the tool, of nodes are read through it or by Service.Once, which checks the same.
 type Transport struct {
 	transport *http.Transport
 }
