Let the soak break answers

The fault "broken" makes a share of the endpoints send a status or a header that HTTP doesn't allow, or a part before a reset.

--- a/internal/soaker/burdener.go
+++ b/internal/soaker/burdener.go
@@ -50,6 +50,19 @@
 	grouper.Sleep(ctx, f.Duration)
 }
 
+// breakages are the ways in which answers are broken that are drawn.
+var breakages = [scheduler.Breakages]imitator.Breakage{
+	imitator.BrokenStatus, imitator.BrokenName, imitator.BrokenLength, imitator.BrokenEncoding, imitator.BrokenUpload,
+}
+
+// injectBroken makes a share of the endpoints break their answers.
+func (r *run) injectBroken(ctx context.Context, f scheduler.Fault) {
+	for _, p := range r.shareOf(f) {
+		defer r.site.BreakAnswers(breakages[f.Form], p.Address())()
+	}
+	grouper.Sleep(ctx, f.Duration)
+}
+
 // injectSlowBodies makes callers send bodies to one node, in small parts in the first half of
 // the fault, and hold them without their last part until its end. They then close their
 // connections: no request is sent as a whole, and nothing is recorded of them.
--- a/internal/soaker/causer.go
+++ b/internal/soaker/causer.go
@@ -64,6 +64,8 @@
 		r.injectEndless(ctx, f)
 	case scheduler.SlowBodies:
 		r.injectSlowBodies(ctx, f)
+	case scheduler.Broken:
+		r.injectBroken(ctx, f)
 	case scheduler.Revoke, scheduler.Leave, scheduler.StoreRestore, scheduler.Limit, scheduler.Change:
 		r.injectSite(ctx, f)
 	default:
--- a/internal/soaker/scheduler/kind_string.go
+++ b/internal/soaker/scheduler/kind_string.go
@@ -34,11 +34,12 @@
 	_ = x[Change-23]
 	_ = x[Endless-24]
 	_ = x[SlowBodies-25]
+	_ = x[Broken-26]
 }
 
-const _Kind_name = "killkill_allpausetermhupstore_delaystore_resetstore_deafstore_mutestore_silentstore_downstore_losestore_compactendpoint_delayendpoint_resetendpoint_deafendpoint_muteendpoint_silentrevokeleavestore_restorelimitsilencechangeendlessslow_bodies"
+const _Kind_name = "killkill_allpausetermhupstore_delaystore_resetstore_deafstore_mutestore_silentstore_downstore_losestore_compactendpoint_delayendpoint_resetendpoint_deafendpoint_muteendpoint_silentrevokeleavestore_restorelimitsilencechangeendlessslow_bodiesbroken"
 
-var _Kind_index = [...]uint8{0, 4, 12, 17, 21, 24, 35, 46, 56, 66, 78, 88, 98, 111, 125, 139, 152, 165, 180, 186, 191, 204, 209, 216, 222, 229, 240}
+var _Kind_index = [...]uint8{0, 4, 12, 17, 21, 24, 35, 46, 56, 66, 78, 88, 98, 111, 125, 139, 152, 165, 180, 186, 191, 204, 209, 216, 222, 229, 240, 246}
 
 func (i Kind) String() string {
 	idx := int(i) - 0
--- a/internal/soaker/scheduler/memory.go
+++ b/internal/soaker/scheduler/memory.go
@@ -58,6 +58,20 @@
 	})
 }
 
+// Breakages is the number of ways in which answers are broken.
+const Breakages = 5
+
+// drawBroken draws the endpoints that break their answers, for the times and shares of those that
+// answer without an end.
+func drawBroken(cfg Config) []Fault {
+	return drawMemory(cfg, 7, func(r *rand.Rand, at time.Duration) Fault {
+		f := Fault{Kind: Broken, At: at, Duration: minEndless + randomBelow(r, maxEndless-minEndless)}
+		f.Target, f.Form = r.IntN(max(cfg.Endpoints, 1)), r.IntN(Breakages)
+		f.Share = minEndlessShare + (maxEndlessShare-minEndlessShare)*r.Float64()
+		return f
+	})
+}
+
 // drawMemory draws faults, which may overlap, from a stream of their own. Those that would last
 // beyond the run are left out.
 func drawMemory(cfg Config, stream uint64, draw func(*rand.Rand, time.Duration) Fault) []Fault {
--- a/internal/soaker/scheduler/scheduler.go
+++ b/internal/soaker/scheduler/scheduler.go
@@ -43,13 +43,14 @@
 	Change                       // change
 	Endless                      // endless
 	SlowBodies                   // slow_bodies
+	Broken                       // broken
 
 	// uniformKinds is how many kinds are drawn with equal probability: all but those
 	// from Leave on, which are drawn separately so that adding them changed no other
 	// fault of a seed.
 	uniformKinds = int(Revoke) + 1
 	// Kinds is the number of kinds.
-	Kinds = int(SlowBodies) + 1
+	Kinds = int(Broken) + 1
 )
 
 // Fault is one fault. It is an immutable value.
@@ -59,13 +60,13 @@
 	// lasts. Faults that end processes last until the processes are started again.
 	At       time.Duration
 	Duration time.Duration
-	// Target is the number of the node or endpoint, of the first endpoint of a Silence or
-	// an Endless, and a random number below Changes for a Change.
+	// Target is the number of the node or endpoint, of the first endpoint of a Silence, an
+	// Endless or a Broken, and a random number below Changes for a Change.
 	Target int
-	// Share is the share of the endpoints, from Target on, that a Silence or an Endless
-	// affects.
+	// Share is the share of the endpoints, from Target on, that a Silence, an Endless or a
+	// Broken affects.
 	Share float64
-	// Form is the form of an Endless, below Forms.
+	// Form is the form of an Endless, below Forms, or the breakage of a Broken, below Breakages.
 	Form int
 	// Callers is the number of callers of SlowBodies, and of a crowd beside an Endless.
 	Callers int
@@ -81,6 +82,8 @@
 		text += fmt.Sprintf(" of %.0f%% of the endpoints", 100*f.Share)
 	case Endless:
 		text += fmt.Sprintf(" of %.0f%% of the endpoints in form %d beside a crowd of %d", 100*f.Share, f.Form, f.Callers)
+	case Broken:
+		text += fmt.Sprintf(" of %.0f%% of the endpoints in form %d", 100*f.Share, f.Form)
 	case SlowBodies:
 		text += fmt.Sprintf(" of %d callers", f.Callers)
 	}
@@ -183,7 +186,7 @@
 			faults = append(faults, drawSeparate(cfg, kind, uint64(n+2))...)
 		}
 	}
-	series := slices.Concat(drawSeries(cfg), drawEndless(cfg), drawSlowBodies(cfg))
+	series := slices.Concat(drawSeries(cfg), drawEndless(cfg), drawSlowBodies(cfg), drawBroken(cfg))
 	faults = append(faults, slices.DeleteFunc(series, func(f Fault) bool { return !cfg.draws(f.Kind) })...)
 	slices.SortStableFunc(faults, func(a, b Fault) int { return int(a.At - b.At) })
 	return faults
--- a/internal/soaker/scheduler/scheduler_test.go
+++ b/internal/soaker/scheduler/scheduler_test.go
@@ -35,6 +35,9 @@
 			if f.Kind == Endless && (f.Share <= 0 || f.Share > 1 || f.Form >= Forms || f.Duration > maxEndless || f.Callers > maxCrowd) {
 				t.Fatalf("%v is not an answer without an end", f)
 			}
+			if f.Kind == Broken && (f.Share <= 0 || f.Share > maxEndlessShare || f.Form >= Breakages || f.Duration > maxEndless) {
+				t.Fatalf("%v is not a broken answer", f)
+			}
 			if f.Kind == SlowBodies && (f.Callers < minSlowCallers || f.Callers > maxSlowCallers || f.Target >= cfg.Nodes) {
 				t.Fatalf("%v has no callers or no node", f)
 			}
@@ -97,15 +100,17 @@
 	}
 }
 
-// Guards against forms of answers without an end that no seed gives.
+// Guards against forms of answers without an end, and of broken ones, that no seed gives.
 func TestFormsAreAllDrawn(t *testing.T) {
-	drawn := make(map[int]bool)
-	for seed := range uint64(40) {
-		for _, f := range Draw(Config{Seed: seed, Time: 20 * time.Second, Nodes: 5, Endpoints: 9, Only: []Kind{Endless}}) {
-			drawn[f.Form] = true
+	for kind, want := range map[Kind]int{Endless: Forms, Broken: Breakages} {
+		drawn := make(map[int]bool)
+		for seed := range uint64(40) {
+			for _, f := range Draw(Config{Seed: seed, Time: 20 * time.Second, Nodes: 5, Endpoints: 9, Only: []Kind{kind}}) {
+				drawn[f.Form] = true
+			}
+		}
+		if got := len(drawn); got != want {
+			t.Errorf("forms of %s: got %d, want %d", kind, got, want)
 		}
-	}
-	if got, want := len(drawn), Forms; got != want {
-		t.Errorf("forms: got %d, want %d", got, want)
 	}
 }
