Excuse streams whose last attempt gets a broken answer in the soak

Traced in the nodes' logs: each stream had passed on 39 to 98 events when silence ended its first attempt; the second, the last that its route allows, got a broken answer (events from 1 on again; status 000). The head of its answer had been sent, so that the node can't replace it by a failure: the same end that "endless" excuses, for the same reason. The check of it takes both faults now, within the same limits: a stream whose answer has begun, and the first engine of a path.

--- a/internal/soaker/auditor/auditor.go
+++ b/internal/soaker/auditor/auditor.go
@@ -90,7 +90,7 @@
 	exchanges    []Exchange
 	disturbances []*disturbance
 	silences     []*disturbance
-	endless      []*disturbance
+	unsound      []*disturbance
 	stops        []*stop
 }
 
--- a/internal/soaker/burdener.go
+++ b/internal/soaker/burdener.go
@@ -28,7 +28,7 @@
 func (r *run) injectEndless(ctx context.Context, f scheduler.Fault) {
 	for _, p := range r.shareOf(f) {
 		if f.Form != int(imitator.EndlessReports) {
-			defer r.auditor.AnswerEndlessly(p.Address())()
+			defer r.auditor.AnswerUnsoundly(p.Address())()
 		}
 		defer r.site.AnswerEndlessly(forms[f.Form], p.Address())()
 	}
@@ -58,6 +58,7 @@
 // injectBroken makes a share of the endpoints break their answers.
 func (r *run) injectBroken(ctx context.Context, f scheduler.Fault) {
 	for _, p := range r.shareOf(f) {
+		defer r.auditor.AnswerUnsoundly(p.Address())()
 		defer r.site.BreakAnswers(breakages[f.Form], p.Address())()
 	}
 	grouper.Sleep(ctx, f.Duration)
