Hold failed writes only while requests are exchanged

A write that failed waited for the end of the reads from the moment the connection was open. The tool may speak TLS, whose handshake writes and reads in turn: a handshake whose write is reset would have waited for a read that never comes. Found by reading; nodes use no TLS. Transport now switches the wait on when net/http has the connection for a request, and Service.Once, which reads after it writes, never does.

TestPartBeforeAResetDuringTheUpload and TestEarlyAnswerIsTaken pass as before.

--- a/internal/driver/conn.go
+++ b/internal/driver/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/gravitational/trace"
@@ -27,16 +28,18 @@
 	// failed is the error of the first write that failed; nil if none did.
 	failed error
 
-	// readEnded is closed once nothing more is read; nil if reads begin after the writes. A write that
-	// fails returns after that: net/http closes a connection whose write fails, although the answer
-	// may have arrived and only waits to be read.
+	// concurrent is set once net/http exchanges requests on the connection, which it reads while it writes.
+	// A write that fails then returns after readEnded: net/http closes a connection whose write fails,
+	// although the answer may have arrived and only waits to be read.
+	concurrent atomic.Bool
+	// readEnded is closed once nothing more is read.
 	readEnded chan struct{}
 	endOnce   sync.Once
 }
 
-// newConn returns a connection that keeps the errors of its writes. concurrent is set if it is read
-// while it is written. One without a socket is returned as it is.
-func newConn(c net.Conn, concurrent bool) net.Conn {
+// newConn returns a connection that keeps the errors of its writes. One without a socket is returned
+// as it is.
+func newConn(c net.Conn) net.Conn {
 	sys, ok := c.(syscall.Conn)
 	if !ok {
 		return c
@@ -45,11 +48,7 @@
 	if err != nil {
 		return c
 	}
-	kept := &conn{Conn: c, raw: raw}
-	if concurrent {
-		kept.readEnded = make(chan struct{})
-	}
-	return kept
+	return &conn{Conn: c, raw: raw, readEnded: make(chan struct{})}
 }
 
 // SyscallConn returns the socket.
@@ -76,7 +75,7 @@
 		return true
 	})
 	if failed != nil {
-		if c.readEnded != nil {
+		if c.concurrent.Load() {
 			<-c.readEnded
 		}
 		err = failed
@@ -116,11 +115,7 @@
 }
 
 // endReads says that nothing more is read. It may be called more than once.
-func (c *conn) endReads() {
-	if c.readEnded != nil {
-		c.endOnce.Do(func() { close(c.readEnded) })
-	}
-}
+func (c *conn) endReads() { c.endOnce.Do(func() { close(c.readEnded) }) }
 
 // brokenOff returns why the connection ended before the peer closed it; nil if it didn't. The first
 // write that fails does so with EPIPE if the peer closed the connection before it reset it: all that
@@ -142,7 +137,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newConn(c, true), nil
+		return newConn(c), nil
 	}
 	if pool == nil {
 		return keeping
--- a/internal/driver/head.go
+++ b/internal/driver/head.go
@@ -41,10 +41,15 @@
 func (t Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var head atomic.Pointer[bounder.Head]
 	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*bounder.Conn); ok {
-			if earlier := head.Swap(conn.BeginHead()); earlier != nil {
+		opened := info.Conn
+		if counted, ok := opened.(*bounder.Conn); ok {
+			if earlier := head.Swap(counted.BeginHead()); earlier != nil {
 				earlier.Release()
 			}
+			opened = counted.Conn
+		}
+		if c, ok := opened.(*conn); ok {
+			c.concurrent.Store(true)
 		}
 	}})
 	resp, err := t.transport.RoundTrip(req.WithContext(ctx))
--- a/internal/driver/once.go
+++ b/internal/driver/once.go
@@ -82,7 +82,7 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "dialling %s", address)
 	}
-	guarded := newConn(raw, false)
+	guarded := newConn(raw)
 	conn := &callConn{Conn: guarded, counted: bounder.NewConn(guarded, pool)}
 	conn.r = bufio.NewReader(conn)
 	return conn, nil
