--- a/cmd/banyanquayd/broken_test.go
+++ b/cmd/banyanquayd/broken_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -27,22 +26,11 @@
 
 // startProcess starts a site whose configuration allows large bodies, and a node before it as a process of
 // its own. It returns a caller of that node that sends such bodies.
-func startProcess(t *testing.T) (*imitator.Site, imitator.Caller) {
+func startProcess(t *testing.T) (*fleet, imitator.Caller) {
 	f := &fleet{port: freePort(t)}
 	f.site = imitator.New(imitator.Config{IP: siteIP, Port: f.port + 10, Centres: []string{"a", "b"}, Engines: 3})
 	f.site.WriteDocument(bytes.Replace(f.site.Document(), []byte(`"max-body-bytes":1048576`), []byte(`"max-body-bytes":8388608`), 1))
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		if err := f.site.Step().Run(ctx); err != nil {
-			t.Error(err)
-		}
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	f.runSite(t)
 	path := filepath.Join(t.TempDir(), "node.toml")
 	text := fmt.Sprintf(`address = %q
 centre = "a"
@@ -73,7 +61,7 @@
 		_, err := c.Stream(t.Context(), "first", brokenEvents)
 		return err == nil
 	})
-	return f.site, c
+	return f, c
 }
 
 // breakAll breaks the answers of endpoints until the function that it returns is called.
@@ -95,7 +83,8 @@
 // Guards against broken answers of servers in trouble that reach callers of a node that runs as a process:
 // callers get a failure that is true or, where the request may run again, another server's answer.
 func TestBrokenAnswersReachNoCaller(t *testing.T) {
-	site, c := startProcess(t)
+	f, c := startProcess(t)
+	site := f.site
 	all := append(site.PlainAddresses(), append(site.EngineAddresses("a"), site.EngineAddresses("b")...)...)
 	some := append(site.PlainAddresses()[:1], site.EngineAddresses("a")[:1]...)
 	for b, name := range breakages {
@@ -109,7 +98,7 @@
 					t.Errorf("all are broken: got %d of %q, want failures alone", n, outcome)
 				}
 			}
-			awaitSound(t, c, fmt.Sprintf("sound-%d", b))
+			f.awaitSound(t, c, fmt.Sprintf("sound-%d", b))
 			end = breakAll(site, imitator.Breakage(b), some)
 			record = recordCalls(t, site, c, fmt.Sprintf("some-%d", b))
 			end()
@@ -117,15 +106,15 @@
 			if record["look 200"] != brokenCalls || record["stream 200"] != brokenCalls {
 				t.Errorf("some are broken: got %v, want whole answers of others to all that may run again", record)
 			}
-			awaitSound(t, c, fmt.Sprintf("sound-again-%d", b))
+			f.awaitSound(t, c, fmt.Sprintf("sound-again-%d", b))
 		})
 	}
 }
 
 // awaitSound waits until requests of all kinds are served.
-func awaitSound(t *testing.T, c imitator.Caller, id string) {
+func (f *fleet) awaitSound(t *testing.T, c imitator.Caller, id string) {
 	t.Helper()
-	(&fleet{}).waitFor(t, "all are served after broken answers", func() bool {
+	f.waitFor(t, "all are served after broken answers", func() bool {
 		code, _, err := c.Call(t.Context(), http.MethodPost, "/book/1", id+"-book")
 		_, streamErr := c.Stream(t.Context(), id, brokenEvents)
 		return err == nil && code == http.StatusOK && streamErr == nil
--- a/cmd/banyanquayd/platform_test.go
+++ b/cmd/banyanquayd/platform_test.go
@@ -84,6 +84,19 @@
 func startFleetWith(t *testing.T, engines, memoryMB int) *fleet {
 	f := &fleet{port: freePort(t), memoryMB: memoryMB}
 	f.site = imitator.New(imitator.Config{IP: siteIP, Port: f.port + 10, Centres: []string{"a", "b", "c"}, Engines: engines})
+	f.runSite(t)
+	for n := range 3 {
+		f.nodes = append(f.nodes, f.startNode(t, n))
+	}
+	f.waitFor(t, "a stream is served", func() bool {
+		_, err := f.visitor(0, imitator.Key).Stream(t.Context(), "first", streamEvents)
+		return err == nil
+	})
+	return f
+}
+
+// runSite runs the fleet's site until the end of the test.
+func (f *fleet) runSite(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
@@ -96,14 +109,6 @@
 		cancel()
 		<-done
 	})
-	for n := range 3 {
-		f.nodes = append(f.nodes, f.startNode(t, n))
-	}
-	f.waitFor(t, "a stream is served", func() bool {
-		_, err := f.visitor(0, imitator.Key).Stream(t.Context(), "first", streamEvents)
-		return err == nil
-	})
-	return f
 }
 
 func (f *fleet) startNode(t *testing.T, n int) *fx.App {
