--- a/internal/driver/once.go
+++ b/internal/driver/once.go
@@ -82,8 +82,8 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "dialling %s", address)
 	}
-	guarded := newConn(raw)
-	conn := &callConn{Conn: guarded, counted: bounder.NewConn(guarded, pool)}
+	kept := newConn(raw)
+	conn := &callConn{Conn: kept, counted: bounder.NewConn(kept, pool)}
 	conn.r = bufio.NewReader(conn)
 	return conn, nil
 }
