--- a/internal/provider/client_test.go
+++ b/internal/provider/client_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
+	"time"
 )
 
 // answerOnce serves one connection: it reads a request, writes the text and closes. It returns
@@ -91,3 +94,39 @@
 		})
 	}
 }
+
+// Guards against a part of an answer without a length that is taken for an append that succeeded, since the
+// platform resets the connection while the records are still being written.
+func TestPartBeforeAResetDuringTheUpload(t *testing.T) {
+	// More than the socket buffers of both sides take.
+	const uploadBytes = 5 << 20
+	const calls = 12
+	ln, err := net.Listen("tcp", "127.0.0.4:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}")
+				time.Sleep(20 * time.Millisecond) // the part arrives first
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}()
+		}
+	}()
+	c := New(Config{URL: "http://" + ln.Addr().String()})
+	for range calls {
+		if got, err := c.Log().Append(t.Context(), "s", bytes.Repeat([]byte("x"), uploadBytes)); err == nil {
+			t.Errorf("got %+v, want an error", got)
+		}
+	}
+}
