--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -24,7 +24,8 @@
 	root, temp string
 	record     *record
 	store      *store
-	storeAddr  string
+	doors      []*door
+	storeAddrs []string
 	ports      [5]int
 	nodes      []*process
 	nodeIPs    []string
@@ -79,12 +80,6 @@
 		return nil, err
 	}
 	f := &fleet{root: root, temp: temp, record: rec, store: newStore(), servers: make(map[string]*process)}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return nil, err
-	}
-	f.storeAddr = ln.Addr().String()
-	go func() { _ = http.Serve(ln, f.store.handler()) }()
 	for i := range f.ports {
 		if f.ports[i], err = freePort("0.0.0.0"); err != nil {
 			return nil, err
@@ -159,6 +154,15 @@
 	for i := range count {
 		f.nodeIPs = append(f.nodeIPs, fmt.Sprintf("127.0.0.%d", 11+i))
 	}
+	for range count {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		d := &door{store: f.store}
+		f.doors, f.storeAddrs = append(f.doors, d), append(f.storeAddrs, ln.Addr().String())
+		go func() { _ = http.Serve(ln, d) }()
+	}
 	for i := range count {
 		if err := f.startNode(i, grace); err != nil {
 			return err
@@ -201,7 +205,7 @@
 retry_ratio = 0.2
 retry_slack = 198
 retry_window = "10s"
-`, ip, f.ports[0], zones[i%len(zones)], f.storeAddr, grace, i, f.ports[1], f.ports[2], f.ports[3], f.ports[4], list)
+`, ip, f.ports[0], zones[i%len(zones)], f.storeAddrs[i], grace, i, f.ports[1], f.ports[2], f.ports[3], f.ports[4], list)
 	path := filepath.Join(f.temp, fmt.Sprintf("node%d.toml", i))
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -57,10 +57,11 @@
 }
 
 var cases = map[string]func(f *fleet, trouble bool) int{
-	"leaving": playLeaving,
-	"frozen":  playFrozen,
-	"restart": playRestart,
-	"path":    playPath,
+	"leaving":  playLeaving,
+	"frozen":   playFrozen,
+	"restart":  playRestart,
+	"departed": playDeparted,
+	"path":     playPath,
 }
 
 // publish writes the operator's configuration: one streaming route to engines of one kind, each of
--- a/review/standin3/server.go
+++ b/review/standin3/server.go
@@ -36,8 +36,13 @@
 	leaving                    bool
 	running                    atomic.Int64
 	out                        sync.Mutex
+	// silent is set once the server publishes no more entries; it is guarded by out.
+	silent bool
 }
 
+// leaveSilently is the signal with which a server leaves without having said so.
+const leaveSilently = syscall.SIGUSR2
+
 func (s *server) say(format string, args ...any) {
 	s.out.Lock()
 	defer s.out.Unlock()
@@ -63,7 +68,12 @@
 	}
 	s.mu.Unlock()
 	data, _ := json.Marshal(entry)
-	s.say("entry %s", data)
+	s.out.Lock()
+	silent := s.silent
+	s.out.Unlock()
+	if !silent {
+		s.say("entry %s", data)
+	}
 }
 
 func runServer(args []string) int {
@@ -89,6 +99,15 @@
 			s.beat()
 		}
 	}()
+	// SIGUSR2: the server leaves without a word; it publishes no more entries.
+	silent := make(chan os.Signal, 1)
+	signal.Notify(silent, leaveSilently)
+	go func() {
+		<-silent
+		s.out.Lock()
+		s.silent = true
+		s.out.Unlock()
+	}()
 	// SIGUSR1: the planned end begins.
 	leave := make(chan os.Signal, 1)
 	signal.Notify(leave, syscall.SIGUSR1)
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -62,6 +62,70 @@
 	return offset
 }
 
+// door is a node's way to the store. It tells which nodes read the list of servers, and may turn
+// its node away.
+type door struct {
+	store *store
+	mu    sync.Mutex
+	away  bool
+	// silent is set if a node that is turned away gets no answer, else it gets 503.
+	silent bool
+	// listed is when the node last read the list of servers.
+	listed time.Time
+}
+
+func (d *door) turnAway(away bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.away = away
+}
+
+// reads reports whether the node has read the list of servers since a time.
+func (d *door) reads(since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed.After(since)
+}
+
+func (d *door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	away := d.away
+	if !away && r.URL.Query().Get("topic") == "keyed.servers" {
+		d.listed = time.Now()
+	}
+	d.mu.Unlock()
+	if away && d.silent {
+		select {
+		case <-r.Context().Done():
+		case <-time.After(20 * time.Second):
+		}
+		return
+	}
+	if away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	d.store.handler().ServeHTTP(&doorWriter{ResponseWriter: w, door: d, r: r}, r)
+}
+
+// doorWriter withholds answers from a node that has been turned away in silence meanwhile.
+type doorWriter struct {
+	http.ResponseWriter
+	door *door
+	r    *http.Request
+}
+
+func (w *doorWriter) Write(data []byte) (int, error) {
+	w.door.mu.Lock()
+	lost := w.door.away && w.door.silent
+	w.door.mu.Unlock()
+	if lost {
+		<-w.r.Context().Done()
+		return 0, w.r.Context().Err()
+	}
+	return w.ResponseWriter.Write(data)
+}
+
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/log-append", s.append)
