--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -78,12 +78,18 @@
 	config := map[string]any{
 		"version": version,
 		"routes": []map[string]any{
-			{"name": "r-stream", "host": host, names["pathPrefix"]: "/stream/", "kind": "streaming", "timeout-ms": 20000, names["target"]: 500, "priority": 1,
-				"service": "desk", names["maxAttempts"]: 2, names["anonymous"]: false, "session-affinity": true, "resumable": true, "gap-aim-ms": 200},
-			{"name": "r-book", "host": host, names["pathPrefix"]: "/book/", "kind": "non_idempotent", "timeout-ms": 2000, names["target"]: 300, "priority": 2,
-				"service": "orders", names["maxAttempts"]: 1, names["anonymous"]: false},
-			{"name": "r-look", "host": host, names["pathPrefix"]: "/look/", "kind": "idempotent", "timeout-ms": 2000, names["target"]: 300, "priority": 2,
-				"service": "orders", names["maxAttempts"]: 2, names["anonymous"]: false},
+			{
+				"name": "r-stream", "host": host, names["pathPrefix"]: "/stream/", "kind": "streaming", "timeout-ms": 20000, names["target"]: 500, "priority": 1,
+				"service": "desk", names["maxAttempts"]: 2, names["anonymous"]: false, "session-affinity": true, "resumable": true, "gap-aim-ms": 200,
+			},
+			{
+				"name": "r-book", "host": host, names["pathPrefix"]: "/book/", "kind": "non_idempotent", "timeout-ms": 2000, names["target"]: 300, "priority": 2,
+				"service": "orders", names["maxAttempts"]: 1, names["anonymous"]: false,
+			},
+			{
+				"name": "r-look", "host": host, names["pathPrefix"]: "/look/", "kind": "idempotent", "timeout-ms": 2000, names["target"]: 300, "priority": 2,
+				"service": "orders", names["maxAttempts"]: 2, names["anonymous"]: false,
+			},
 		},
 		"services": []map[string]any{
 			{"name": "desk", "health-check": "/health", "max-connections": 1068, "protocol": "h1", "tls": false, "engine": engine},
--- a/review/standin3/streams.go
+++ b/review/standin3/streams.go
@@ -41,7 +41,8 @@
 	for i := range count {
 		node := nodes[i%len(nodes)]
 		q := request{id: fmt.Sprintf("9c41d07be2a3%04x", i), method: "POST", path: "/stream/2f", body: fmt.Sprintf("prompt %d", i), deadline: 20 * time.Second, header: []string{
-			"X-Model: m0", names["tokens"] + ": 800,364", fmt.Sprintf(names["prefix"]+": 5c1e07a2:40,%08x:760", i), "Content-Type: application/json"}}
+			"X-Model: m0", names["tokens"] + ": 800,364", fmt.Sprintf(names["prefix"]+": 5c1e07a2:40,%08x:760", i), "Content-Type: application/json",
+		}}
 		s.ids, s.nodes = append(s.ids, q.id), append(s.nodes, node)
 		s.wg.Go(func() {
 			f.record.say("client sends %s to node %d", q.id, node)
