--- a/review/standin3/departed.go
+++ b/review/standin3/departed.go
@@ -58,7 +58,7 @@
 			}
 		})
 	}
-	result := held
+	result, played := held, 0
 	for round := range rounds {
 		time.Sleep(3 * time.Second)
 		var away []int
@@ -71,6 +71,7 @@
 		if len(away) > nodes/3 {
 			continue // more than the pages turn away
 		}
+		played++
 		gone := live[0]
 		live = live[1:]
 		f.servers[gone].signal(leaveSilently)
@@ -122,5 +123,8 @@
 	}
 	close(stop)
 	wg.Wait()
+	if played == 0 {
+		return couldNotRun
+	}
 	return result
 }
--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -80,29 +80,45 @@
 		return nil, err
 	}
 	f := &fleet{root: root, temp: temp, record: rec, store: newStore(), servers: make(map[string]*process)}
+	var ips []string
+	for i := range maxNodes {
+		ips = append(ips, nodeIP(i))
+	}
 	for i := range f.ports {
-		if f.ports[i], err = freePort("0.0.0.0"); err != nil {
+		if f.ports[i], err = freePort(ips...); err != nil {
 			return nil, err
 		}
 	}
 	return f, nil
 }
 
-// freePort returns a port that is free on all loopback addresses in use and that no outgoing
+// freePort returns a port that is free on all of some loopback addresses and that no outgoing
 // connection is given.
-func freePort(ip string) (int, error) {
+func freePort(ips ...string) (int, error) {
 	for range 100 {
 		port := 10000 + rand.IntN(20000)
-		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
-		if err != nil {
-			continue
+		free := true
+		for _, ip := range ips {
+			ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+			if err != nil {
+				free = false
+				break
+			}
+			ln.Close()
+		}
+		if free {
+			return port, nil
 		}
-		ln.Close()
-		return port, nil
 	}
 	return 0, errors.New("no free port")
 }
 
+// nodeIP returns the address of a node.
+func nodeIP(i int) string { return fmt.Sprintf("127.0.0.%d", 11+i) }
+
+// maxNodes is the most nodes that a case has.
+const maxNodes = 9
+
 // close ends all processes and removes the temporary folder.
 func (f *fleet) close() {
 	f.mu.Lock()
@@ -152,7 +168,7 @@
 // startNodes starts nodes with the settings that the template of the deploy file gives.
 func (f *fleet) startNodes(count int, grace string) error {
 	for i := range count {
-		f.nodeIPs = append(f.nodeIPs, fmt.Sprintf("127.0.0.%d", 11+i))
+		f.nodeIPs = append(f.nodeIPs, nodeIP(i))
 	}
 	for range count {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
