Take no notice for proof that an answer without a length is whole

Whole bookings of endpoints whose entry was removed without a notice, and that left as planned and exited behind their last answer, got 502.

Cause: the end of an answer without a length is proven by a connection to its endpoint 20 ms later. The notice excused the endpoint from that, and an entry that was removed counted as no notice. Streams by way of another node weren't checked at all, nor were the failures of engines.

An endpoint that has left and stopped vouches for nothing now. What may be asked again is: idempotent requests, and streams behind their last event. What can't be is a part if the endpoint was silent before the end, another of its answers broke off in the same moment, or a JSON text lacks its end; otherwise it counts as whole. Such stops are no crashes under the request. Why that tells the two: a whole answer's connection ends right behind its last byte, and an endpoint that leaves as planned ends all of its answers before it exits.

TestStopsOfLeavingEndpointsAreNoCrashes fails with these stops counted as crashes.

--- a/cmd/banyanquayd/hangup_test.go
+++ b/cmd/banyanquayd/hangup_test.go
@@ -32,6 +32,10 @@
 		fmt.Println(imitator.RunPlainEndpoint(address))
 		os.Exit(1)
 	}
+	if address := os.Getenv(departingVariable); address != "" {
+		fmt.Println(imitator.RunDepartingEndpoint(address))
+		os.Exit(1)
+	}
 	if os.Getenv(stoppedStartVariable) != "" {
 		os.Exit(serve(fx.New(fx.NopLogger, fx.Invoke(stopAtStart))))
 	}
--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -21,8 +21,9 @@
 	// other nodes reach (endpoints_unreached), calls by way of other nodes (detours,
 	// detours_failed) and for them (detours_served), streams that restarted for want of a
 	// connection (reconnects), endpoints that named and ended
-	// a limit (limits_named, limits_ended), and checks for stalls that came
-	// late because this process was paused (late_ticks).
+	// a limit (limits_named, limits_ended), answers without a length whose endpoint had
+	// stopped behind them, by what that shows (ends_crashed, ends_cut_off, ends_unproven), and
+	// checks for stalls that came late because this process was paused (late_ticks).
 	Stages *expvar.Map `expvar:"banyanquay.stages"`
 	// Room has, with relay.enabled, for each service the load and the levels of its classes as
 	// last used (SERVICE.load, SERVICE.levels) and the refusals for lack of room by cause and
--- a/internal/supervisor/forwarder/forwarder.go
+++ b/internal/supervisor/forwarder/forwarder.go
@@ -119,6 +119,7 @@
 	monitor  *monitor
 	plain    plainAttempts
 	endings  endings
+	ends     ends
 	rooms    rooms
 	// admission decides which requests are admitted while capacity is short.
 	admission admission
@@ -210,6 +211,10 @@
 	// ended is set if this node ended the last attempt that was answered. Its stream may have lacked
 	// nothing but its end then, which only the endpoint of the next attempt can tell.
 	ended bool
+	// presumedEnd is the ID of the last event behind which the stream may have ended, since its endpoint left and has
+	// stopped; empty if none. presumedAt is when that was found.
+	presumedEnd string
+	presumedAt  time.Time
 	// provenFrom is the number of events of an attempt that came further than those during which an engine stopped.
 	provenFrom int
 	// tried holds the IDs of the endpoints that are not tried again.
--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -16,6 +16,7 @@
 	"banyanquay/internal/grouper"
 	"banyanquay/internal/recorder"
 	"banyanquay/internal/refuser"
+	"banyanquay/internal/registrar"
 	"banyanquay/internal/supervisor/forwarder/pathfinder"
 	"banyanquay/internal/supervisor/quarantiner"
 )
@@ -89,6 +90,9 @@
 			return
 		}
 		lastErr = err
+		if errors.Is(err, errLeftUnproven) {
+			c.presumedEnd, c.presumedAt = c.lastEventID, f.cfg.Now()
+		}
 		if r, ended := f.interruption(c); ended {
 			f.failGeneration(c, s, r)
 			return
@@ -100,9 +104,13 @@
 	}
 }
 
-// failGeneration answers a generation that can't continue: with the failure reply
+// failGeneration answers a generation that can't continue: as complete if it may be whole, with the failure reply
 // of an engine, if there is one and nothing has been written, else with a refusal.
 func (f *Forwarder) failGeneration(c *call, s *session, r refuser.Refusal) {
+	if c.presumedWhole() && r.Code != refuser.CallerLeft {
+		f.recordFinished(c, s)
+		return
+	}
 	if c.answered || c.failure == nil || r.Code == refuser.CallerLeft {
 		f.refuse(c, r)
 		return
@@ -115,6 +123,12 @@
 	f.recordFinished(c, s)
 }
 
+// presumedWhole reports whether the stream may be whole as far as the caller has it, since its endpoint left and stopped
+// behind the last event. Another endpoint is asked whether more follows, if the stream can be sent again.
+func (c *call) presumedWhole() bool {
+	return c.answered && c.presumedEnd != "" && c.presumedEnd == c.lastEventID
+}
+
 // begun reports whether the caller has events of the answer: of this request or, if
 // it resumes a stream, of an earlier one.
 func (c *call) begun() bool { return c.answered || c.LastEventID != "" }
@@ -129,7 +143,7 @@
 // mayRetryGeneration reports whether another attempt may follow a failed one.
 func (f *Forwarder) mayRetryGeneration(c *call, s *session, err error) bool {
 	left, limited := c.remaining(f.cfg.Now(), c.route.Timeout)
-	if limited && left < minRemaining {
+	if limited && left < minRemaining || c.presumedWhole() && f.cfg.Now().Sub(c.presumedAt) > resumedTimeout {
 		return false
 	}
 	if !c.answered && c.sends >= maxInitialSends {
@@ -186,11 +200,17 @@
 	c.sends++
 	fw := f.forward(c, path[0].ID)
 	fw.Path, fw.Version, fw.OnDetour = toDriverStages(path), s.version, s.recordDetour
-	first, _ := f.cfg.Endpoints().Get(path[0].ID)
+	first, listed := f.cfg.Endpoints().Get(path[0].ID)
+	if !listed {
+		first = registrar.Entry{ID: path[0].ID, Address: path[0].Address, Service: c.service}
+	}
 	reply, err := f.cfg.Relay.Send(ctx, path[0].Address, fw)
 	var unsent *driver.Unsent
 	c.arrived = c.arrived || !errors.As(err, &unsent)
 	if err != nil {
+		if unsent == nil && ctx.Err() == nil {
+			f.ends.noteBreak(first.Address, f.cfg.Now())
+		}
 		f.attemptBroken(ctx, c, s, brokenAttempt{err: err, began: began})
 		return false, err
 	}
@@ -200,17 +220,11 @@
 		return false, f.attemptRefused(c, s, reply, began)
 	}
 	if reply.Status != http.StatusOK || !reply.Signed {
-		return false, f.attemptFailed(c, s, reply, began)
+		return false, f.attemptFailed(c, s, failedAttempt{ctx: ctx, endpoint: first, reply: reply, began: began})
 	}
 	f.assessor.Accepted(ids(path))
 	f.endpointLived(path[0].Address, began)
-	if err = c.checkHead(s, reply); err == nil {
-		err = f.relayEvents(ctx, c, s, reply)
-	}
-	if err == nil && !c.atMaximum(s.snapshot().events) && f.endUnproven(reply, first) && !f.cutOffFrom(first.Address) {
-		err = errEndUnproven
-	}
-	if err == nil {
+	if err = f.relayStream(ctx, c, s, begunStream{endpoint: first, reply: reply}); err == nil {
 		c.runs++
 		f.assessor.Succeeded(path[0].ID, f.cfg.Now().Sub(began))
 		state := s.snapshot()
@@ -225,6 +239,31 @@
 	return false, err
 }
 
+// begunStream is an engine's stream whose head has been read.
+type begunStream struct {
+	endpoint registrar.Entry
+	reply    driver.Reply
+}
+
+// relayStream relays a stream to its end, and checks that it is whole.
+func (f *Forwarder) relayStream(ctx context.Context, c *call, s *session, stream begunStream) error {
+	if err := c.checkHead(s, stream.reply); err != nil {
+		return err
+	}
+	body := f.newAnswerBody(ctx, stream.reply, stream.endpoint.Address)
+	reply := stream.reply
+	reply.Body = body
+	err := f.relayEvents(ctx, c, s, reply)
+	if errors.Is(err, errTruncated) {
+		f.ends.noteBreak(stream.endpoint.Address, body.ended)
+	}
+	state := s.snapshot()
+	if err != nil || c.atMaximum(state.events) {
+		return err
+	}
+	return f.checkRead(reply, readEnd{endpoint: stream.endpoint, body: body, detoured: state.detoured, least: minStreamEndSilence})
+}
+
 // brokenAttempt is an attempt that ended without a complete answer.
 type brokenAttempt struct {
 	err   error
@@ -275,7 +314,7 @@
 		stopped = stopped && !cutOff
 		f.countRun(c, s, stopped)
 	}
-	if stopped {
+	if stopped && !endedByLeaving(broken.err) {
 		c.provenFrom = max(c.provenFrom, s.snapshot().attemptEvents+quarantiner.ProvenEvents)
 		f.recordCrash(c, s.snapshot(), broken)
 	}
@@ -298,13 +337,13 @@
 
 // mayBeWhole reports whether an answer in progress may have been whole when its attempt ended for a cause.
 func (b brokenAttempt) mayBeWhole(cause error) bool {
-	return errors.Is(cause, errStalled) || errors.Is(cause, errCutOff) || errors.Is(cause, errSilent) || errors.Is(b.err, errEndUnproven)
+	return errors.Is(cause, errStalled) || errors.Is(cause, errCutOff) || errors.Is(cause, errSilent) || errors.Is(b.err, errEndUnproven) || endedByLeaving(b.err)
 }
 
 // blameless reports whether the first engine of the path isn't at fault for the end of an attempt,
 // although it isn't tried again.
 func (b brokenAttempt) blameless() bool {
-	return errors.Is(b.err, errNotContinued) || errors.Is(b.err, bounder.ErrExhausted)
+	return errors.Is(b.err, errNotContinued) || errors.Is(b.err, bounder.ErrExhausted) || endedByLeaving(b.err)
 }
 
 // stoppedWithin reports whether an attempt broke off since its engine has stopped.
@@ -331,12 +370,28 @@
 	return &driver.Refused{Reason: strconv.Itoa(reply.Status), Detail: reply.Fault}
 }
 
+// failedAttempt is an attempt whose reply is not a stream. Its first engine got the request with a context.
+type failedAttempt struct {
+	ctx      context.Context
+	endpoint registrar.Entry
+	reply    driver.Reply
+	began    time.Time
+}
+
 // attemptFailed handles a reply that is not a stream: the engine ran the request
 // and failed. The reply is kept for the caller in case no other engine does better.
-func (f *Forwarder) attemptFailed(c *call, s *session, reply driver.Reply, began time.Time) error {
-	body, held, err := f.cfg.Memory.Calls.ReadAll(reply.Body, maxFailureBytes)
+func (f *Forwarder) attemptFailed(c *call, s *session, failed failedAttempt) error {
+	first, reply := failed.endpoint, failed.reply
+	answer := f.newAnswerBody(failed.ctx, reply, first.Address)
+	body, held, err := f.cfg.Memory.Calls.ReadAll(answer, maxFailureBytes)
 	c.reservations = append(c.reservations, held)
-	first := s.snapshot().first()
+	if err == nil {
+		text := jsonEnd(mediaType(reply.Header.Get("Content-Type")), body)
+		err = f.checkRead(reply, readEnd{endpoint: first, body: answer, detoured: s.snapshot().detoured, least: minEndSilence, text: text})
+	}
+	if errors.Is(err, errLeftUnproven) {
+		err = nil // no better failure reply follows from this engine
+	}
 	f.assessor.Failed(first.ID)
 	f.countRun(c, s, f.prober.stopped(first.Address))
 	f.markSuspect(first.ID, first.Address, failureBackoff, "failed")
@@ -347,6 +402,6 @@
 	f.cfg.Recorder.Info(recorder.AttemptFailed,
 		zap.String("request", c.ID), zap.String("endpoint", first.ID), zap.String("address", first.Address),
 		zap.Int("status", reply.Status), zap.Bool("never", false), zap.Int("send", c.sends),
-		zap.Duration("took", f.cfg.Now().Sub(began)), zap.Error(err))
+		zap.Duration("took", f.cfg.Now().Sub(failed.began)), zap.Error(err))
 	return trace.ConnectionProblem(err, "the engine answered with status %d", reply.Status)
 }
--- a/internal/supervisor/forwarder/monitor.go
+++ b/internal/supervisor/forwarder/monitor.go
@@ -81,10 +81,11 @@
 	reportLimiter *rate.Limiter
 
 	mu sync.Mutex
-	// lastTick is when the streams were last checked, and lastPause when a check last
-	// came late.
-	lastTick  time.Time
-	lastPause time.Time
+	// lastTick is when the streams were last checked, lastPause when a check last came late, and pauseBegan
+	// when the one before that was.
+	lastTick   time.Time
+	lastPause  time.Time
+	pauseBegan time.Time
 	// lastSurvey is when all engines were last asked for their pace.
 	lastSurvey time.Time
 	sessions   map[*session]bool
@@ -157,7 +158,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !m.lastTick.IsZero() && now.Sub(m.lastTick) >= pauseThreshold {
-		m.lastPause = now
+		m.lastPause, m.pauseBegan = now, m.lastTick
 		m.f.cfg.Counters.Stages.Add("late_ticks", 1)
 	}
 	m.lastTick = now
@@ -174,6 +175,23 @@
 	return m.lastPause.After(since) || m.f.cfg.Now().Sub(m.lastTick) >= pauseThreshold
 }
 
+// awakeUntil returns the end of the time between two moments in which this process certainly was not paused: what it noticed at
+// the second one may have happened since then.
+func (m *monitor) awakeUntil(since, now time.Time) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	until := now
+	if m.lastPause.After(since) && now.Sub(m.lastPause) < pauseGrace {
+		until = m.pauseBegan
+	} else if !m.lastTick.IsZero() && now.Sub(m.lastTick) >= pauseThreshold {
+		until = m.lastTick
+	}
+	if until.Before(since) {
+		return since
+	}
+	return until
+}
+
 // endSilent ends the attempts that have been silent for too long.
 func (m *monitor) endSilent(now time.Time) {
 	m.mu.Lock()
--- a/internal/supervisor/forwarder/plain.go
+++ b/internal/supervisor/forwarder/plain.go
@@ -60,6 +60,15 @@
 	return o.err == nil && o.reply.Status >= http.StatusOK && o.reply.Authentic()
 }
 
+// presumed returns the outcome as it is passed on if the request can't be sent again: an answer that may be whole counts as
+// whole.
+func (o outcome) presumed() outcome {
+	if errors.Is(o.err, errLeftUnproven) {
+		o.err = nil
+	}
+	return o
+}
+
 // deliverable reports whether the answer may be passed on to the caller.
 func (o outcome) deliverable() bool {
 	return o.authentic() && !o.notRun && deliverableStatus(o.reply)
@@ -74,7 +83,7 @@
 		return
 	}
 	defer end()
-	// The last deliverable answer is kept for the case that the last attempt has none.
+	// The last deliverable answer, or one that may be whole, is kept for the case that the last attempt has none.
 	var last, kept outcome
 	var lastEndpoint, keptEndpoint registrar.Entry
 	for {
@@ -91,14 +100,14 @@
 		}
 		lastEndpoint = e
 		last = f.tryEndpoint(c, e)
-		if last.deliverable() {
-			kept, keptEndpoint = last, lastEndpoint
+		if presumed := last.presumed(); presumed.deliverable() && (presumed.succeeded() || !kept.succeeded()) {
+			kept, keptEndpoint = presumed, lastEndpoint
 		}
 		if last.succeeded() || !f.mayResend(c, last) {
 			break
 		}
 	}
-	if c.sends > 0 && !last.deliverable() && kept.reply.Status != 0 {
+	if c.sends > 0 && !last.succeeded() && kept.reply.Status != 0 {
 		last, lastEndpoint = kept, keptEndpoint
 	}
 	f.finish(c, last, lastEndpoint)
@@ -225,7 +234,7 @@
 	switch {
 	case o.succeeded():
 		f.assessor.Succeeded(e.ID, took)
-	case errors.Is(context.Cause(ctx), errQuarantined), bounder.Blameless(o.err), f.lostEndpoint(c, e):
+	case errors.Is(context.Cause(ctx), errQuarantined), bounder.Blameless(o.err), endedByLeaving(o.err), f.lostEndpoint(c, e):
 		// The endpoint is not at fault.
 	case c.r.Context().Err() == nil:
 		f.assessor.Failed(e.ID)
@@ -243,7 +252,8 @@
 // crashed reports whether an attempt broke off since its endpoint has stopped. If the
 // attempt ended first, the endpoint isn't probed.
 func (f *Forwarder) crashed(ctx context.Context, c *call, e registrar.Entry, o outcome) bool {
-	return o.err != nil && !errors.Is(o.err, bounder.ErrExhausted) && !o.notRun && ctx.Err() == nil && f.brokenByStop(e.Address) && !f.lostEndpoint(c, e)
+	return o.err != nil && !errors.Is(o.err, bounder.ErrExhausted) && !endedByLeaving(o.err) && !o.notRun && ctx.Err() == nil &&
+		f.brokenByStop(e.Address) && !f.lostEndpoint(c, e)
 }
 
 // lostEndpoint reports whether this node has been cut off from the endpoint of an attempt
@@ -310,28 +320,27 @@
 		var unsent *driver.Unsent
 		notSent := errors.As(err, &unsent)
 		c.arrived = c.arrived || !notSent
+		if !notSent && ctx.Err() == nil {
+			f.ends.noteBreak(e.Address, f.cfg.Now())
+		}
 		return outcome{err: err, notRun: notSent}
 	}
 	c.arrived = true
 	defer reply.Body.Close()
 	f.learnLimits(e.ID, e.Born, reply, began)
-	body, held, err := f.cfg.Memory.Calls.ReadAll(reply.Body, maxAnswerBytes)
+	answer := f.newAnswerBody(ctx, reply, e.Address)
+	body, held, err := f.cfg.Memory.Calls.ReadAll(answer, maxAnswerBytes)
 	c.reservations = append(c.reservations, held)
 	if err == nil {
 		err = driver.CheckBody(body)
 	}
-	if err == nil && f.endUnproven(reply, e) && !f.lostEndpoint(c, e) {
-		err = errEndUnproven
+	if err == nil {
+		text := jsonEnd(mediaType(reply.Header.Get("Content-Type")), body)
+		err = f.checkRead(reply, readEnd{endpoint: e, body: answer, detoured: c.detoured, least: minEndSilence, text: text})
 	}
 	return outcome{reply: reply, body: body, err: err, notRun: reply.NotRun}
 }
 
-// endUnproven reports whether nothing shows that an answer is whole whose connection was closed in order: it has neither
-// a length nor chunks, and its endpoint has stopped, although it didn't say that it leaves.
-func (f *Forwarder) endUnproven(reply driver.Reply, e registrar.Entry) bool {
-	return reply.Unframed && !f.leaves(e) && f.prober.stoppedSince(f.cfg.Now(), e.Address)
-}
-
 // brokenByStop reports whether an answer broke off just now since its endpoint has stopped.
 func (f *Forwarder) brokenByStop(address string) bool {
 	now := f.cfg.Now()
--- a/internal/supervisor/forwarder/waiting.go
+++ b/internal/supervisor/forwarder/waiting.go
@@ -6,7 +6,8 @@
 
 const (
 	// resumedTimeout is how long a request that resumes a stream waits for a path, a retry
-	// or a permit before it is refused. A stream in progress waits until its time is up.
+	// or a permit before it is refused, and a stream that may be whole before it counts as
+	// whole. Any other stream in progress waits until its time is up.
 	// After resumedTimeout it polls every slowPollInterval instead of pollInterval.
 	resumedTimeout   = 1300 * time.Millisecond
 	pollInterval     = 50 * time.Millisecond
@@ -20,6 +21,8 @@
 	switch left, limited := c.remaining(f.cfg.Now(), c.route.Timeout); {
 	case !c.begun():
 		return 0
+	case c.presumedWhole():
+		return max(resumedTimeout-f.cfg.Now().Sub(c.presumedAt), 0)
 	case !c.answered:
 		return resumedTimeout
 	case limited:
