Read the store by way of another node while it turns this one away

Cause: a reader whose calls fail for a moment retains what the store dropped meanwhile, in case the store itself was away, and asks the other readers whether it is gone. Readers that were all turned away had retained the same entry and confirmed it to each other; their data centres take it from them. No node was asked that the store would have answered.

A reader whose call fails, or takes 0.4 s longer than usual, now makes it by way of another node, of the others than readers if there are any. Why that works: the records are the store's own, so that its data stays current and followers get it as ever; entries are retained only if 1.2 s or more lie between two reads, in which entries can lapse.

The test's store without an answer now ends its calls with their contexts, as the client does.

--- a/internal/counter/counter.go
+++ b/internal/counter/counter.go
@@ -39,7 +39,8 @@
 	Ledger *expvar.Map `expvar:"banyanquay.ledger"`
 	// Fleet counts messages and bytes between nodes, and membership changes.
 	Fleet *expvar.Map `expvar:"banyanquay.fleet"`
-	// Config counts configuration records by outcome.
+	// Config counts configuration records by outcome. With relay.enabled it also counts reads of the store by way of other
+	// nodes (reads_relayed), tries at which none could read it (reads_not_relayed), and reads for them (reads_for_others).
 	Config *expvar.Map `expvar:"banyanquay.config"`
 	// Placement counts leases, loads and orders by outcome.
 	Placement *expvar.Map `expvar:"banyanquay.placement"`
--- a/internal/recorder/catalogue.go
+++ b/internal/recorder/catalogue.go
@@ -79,6 +79,7 @@
 	{EndpointsUnreached, "This node can't connect to an endpoint, or with the field all to any, and other nodes can; it calls them by way of those.", "Check this node's network if it happens often."},
 	{EndpointsReached, "This node connects to endpoints itself again; the field unreached counts those that it can't connect to yet.", "Nothing."},
 	{EndpointRetained, "The store dropped an endpoint around an outage of its own; it is kept for a while, in case it registers again. The field source says who reported it: the store, or a node.", "Nothing."},
+	{StoreRelayed, "The platform's store does not answer this node, which reads it by way of another one; the field node names it.", "Check the connection from this node to the store."},
 	{LeaseTaken, "This node now holds the lease and sends the orders to endpoints.", "Nothing."},
 	{LeaseLost, "Another node sends the orders now.", "Nothing; check this node if it happens often."},
 	{LoadBegun, "An endpoint was chosen to load layers or adapters.", "Nothing."},
--- a/internal/recorder/event.go
+++ b/internal/recorder/event.go
@@ -94,6 +94,7 @@
 	EndpointsUnreached                    // endpoints reached by way of other nodes
 	EndpointsReached                      // endpoints reached directly again
 	EndpointRetained                      // endpoint kept that the store dropped
+	StoreRelayed                          // platform's store read by way of another node
 )
 
 // Events of the placement.
--- a/internal/recorder/event_string.go
+++ b/internal/recorder/event_string.go
@@ -72,6 +72,7 @@
 	_ = x[EndpointsUnreached-527]
 	_ = x[EndpointsReached-528]
 	_ = x[EndpointRetained-529]
+	_ = x[StoreRelayed-530]
 	_ = x[LeaseTaken-600]
 	_ = x[LeaseLost-601]
 	_ = x[LoadBegun-602]
@@ -87,7 +88,7 @@
 	_Event_name_1 = "request refusedrequest endedpipeline stage replacedpipeline stage failedoutcome of a non-idempotent request lostcache of a lost stage not importedtry at an endpoint failedpath of a stream changedstream stalledanswer could not be encodedadmission level changed"
 	_Event_name_2 = "ledger stream unreachableledger stream reachable againledger records lost to retentionledger record ignored"
 	_Event_name_3 = "configuration change appliedconfiguration change rejectedconfiguration stream unreachableconfiguration stream reachable againconfiguration record ignoredconfiguration snapshot appendedconfiguration records lost to retentionconfiguration restored by an operator"
-	_Event_name_4 = "node joinednode suspectednode gonenode leaving the fleetendpoint upendpoint goneendpoint leavinglist of VMs unreachablelink uplink downdata centre unreachabledata centre reachable againnode woke from a pauselist of VMs reachable againrecord of a list ignoredplatform's store unreachableplatform's store reachable againendpoint holds other layersendpoint doubtedlearnt from another node what the store did not tellendpoint slowpart of prompts quarantinedpart of prompts releasedendpoint names a limitendpoint names no limit any moreendpoint wants no requests for a whileplatform's store came back from an older copyendpoints reached by way of other nodesendpoints reached directly againendpoint kept that the store dropped"
+	_Event_name_4 = "node joinednode suspectednode gonenode leaving the fleetendpoint upendpoint goneendpoint leavinglist of VMs unreachablelink uplink downdata centre unreachabledata centre reachable againnode woke from a pauselist of VMs reachable againrecord of a list ignoredplatform's store unreachableplatform's store reachable againendpoint holds other layersendpoint doubtedlearnt from another node what the store did not tellendpoint slowpart of prompts quarantinedpart of prompts releasedendpoint names a limitendpoint names no limit any moreendpoint wants no requests for a whileplatform's store came back from an older copyendpoints reached by way of other nodesendpoints reached directly againendpoint kept that the store droppedplatform's store read by way of another node"
 	_Event_name_5 = "lease for orders takenlease for orders lostload orderedload endedload cancelledholdings changed without an orderplacement stream unreachableplacement stream reachable again"
 )
 
@@ -96,7 +97,7 @@
 	_Event_index_1 = [...]uint16{0, 15, 28, 51, 72, 112, 146, 171, 195, 209, 236, 259}
 	_Event_index_2 = [...]uint8{0, 25, 54, 86, 107}
 	_Event_index_3 = [...]uint16{0, 28, 57, 89, 125, 153, 184, 223, 260}
-	_Event_index_4 = [...]uint16{0, 11, 25, 34, 56, 67, 80, 96, 119, 126, 135, 158, 185, 207, 234, 258, 286, 318, 345, 361, 413, 426, 453, 477, 499, 531, 569, 614, 653, 685, 721}
+	_Event_index_4 = [...]uint16{0, 11, 25, 34, 56, 67, 80, 96, 119, 126, 135, 158, 185, 207, 234, 258, 286, 318, 345, 361, 413, 426, 453, 477, 499, 531, 569, 614, 653, 685, 721, 765}
 	_Event_index_5 = [...]uint8{0, 22, 43, 55, 65, 79, 112, 140, 172}
 )
 
@@ -114,7 +115,7 @@
 	case 400 <= i && i <= 407:
 		i -= 400
 		return _Event_name_3[_Event_index_3[i]:_Event_index_3[i+1]]
-	case 500 <= i && i <= 529:
+	case 500 <= i && i <= 530:
 		i -= 500
 		return _Event_name_4[_Event_index_4[i]:_Event_index_4[i+1]]
 	case 600 <= i && i <= 607:
--- a/internal/supervisor/syncer/feed.go
+++ b/internal/supervisor/syncer/feed.go
@@ -20,9 +20,10 @@
 	name     string
 	now      func() time.Time
 	failures int
-	// since is when the first of the current run of failures occurred, and returned
-	// when the last run ended.
+	// since is when the first of the current run of failures occurred, readAt when the last read that
+	// succeeded was sent, and returned when the last run ended in which the store may have dropped entries.
 	since    time.Time
+	readAt   time.Time
 	returned time.Time
 	// lost is that of the feed.
 	lost func()
@@ -47,13 +48,21 @@
 	return delay/2 + rand.N(delay/2+1)
 }
 
-// succeeded records a successful call and reports whether it ends a run of failures.
-func (o *outage) succeeded() bool {
+// minLapseOutage is the least time between two reads in which entries may have lapsed with the store: endpoints register
+// this often, and more than one of these must be missing.
+const minLapseOutage = 1200 * time.Millisecond
+
+// succeeded records a call that succeeded and was sent at sentAt, and reports whether it ends a run of failures.
+func (o *outage) succeeded(sentAt time.Time) bool {
+	before := o.readAt
+	o.readAt = sentAt
 	if o.failures == 0 {
 		return false
 	}
 	now := o.now()
-	o.returned = now
+	if now.Sub(before) >= minLapseOutage {
+		o.returned = now
+	}
 	o.recorder.Info(recorder.StoreReachable, zap.String("what", o.name),
 		zap.Int("failures", o.failures), zap.Duration("away", now.Sub(o.since)))
 	o.failures = 0
@@ -70,6 +79,8 @@
 	interval time.Duration
 	// due reports whether this node reads the topic now.
 	due func() bool
+	// relayed is set if the topic is read by way of other nodes while this one's calls fail.
+	relayed bool
 	// apply merges the records of a read.
 	apply func(r reading)
 	// lost, if set, is called when calls begin to fail, and readable, if set, after each that succeeds and while
@@ -78,6 +89,14 @@
 	readable func()
 }
 
+// pause returns the time until the next read. A read by way of another node hasn't waited for records.
+func (f feed) pause(read readResult) time.Duration {
+	if read.relayed {
+		return max(f.interval, f.wait)
+	}
+	return f.interval
+}
+
 // noteReadable says that no call fails.
 func (f feed) noteReadable() {
 	if f.readable != nil {
@@ -139,8 +158,8 @@
 			grouper.Sleep(ctx, roleCheckInterval)
 			continue
 		}
-		sentAt := s.cfg.Now()
-		items, err := s.read(ctx, f, initialised, from)
+		read := s.read(ctx, f, initialised, from)
+		items, err := read.items, read.err
 		switch {
 		case errors.Is(err, provider.ErrRestored):
 			// What was written since the copy is written again, as after an outage.
@@ -161,30 +180,36 @@
 		if !initialised && known.rose(items.End.Era()) {
 			restored, o.returned = true, s.cfg.Now()
 		}
-		if returned := o.succeeded(); returned && items.More {
+		if returned := o.succeeded(read.sentAt); returned && items.More {
 			// Endpoints that were removed meanwhile would be listed again until the page with
 			// their removal is read.
 			initialised = false
 			continue
 		}
-		r := reading{items: items, full: !initialised, restored: restored, sentAt: sentAt, keepUntil: o.returned.Add(lapseGracePeriod)}
+		r := reading{items: items, full: !initialised, restored: restored, sentAt: read.sentAt, keepUntil: o.returned.Add(lapseGracePeriod)}
 		if !s.cfg.Recorder.Guard(f.name, func() { f.apply(r) }) {
 			initialised = false
 			grouper.Sleep(ctx, maxBackoff)
 			continue
 		}
 		initialised, restored, from = true, false, items.End
-		if !items.More && f.interval > 0 {
-			grouper.Sleep(ctx, f.interval)
+		if !items.More {
+			grouper.Sleep(ctx, f.pause(read))
 		}
 	}
 	return nil
 }
 
 // read returns the newest record of each key, or waits for records after from.
-func (s *Syncer) read(ctx context.Context, f feed, initialised bool, from provider.Offset) (provider.Items, error) {
+func (s *Syncer) read(ctx context.Context, f feed, initialised bool, from provider.Offset) readResult {
+	if initialised && f.relayed {
+		return s.readFrom(ctx, f, from)
+	}
+	sentAt := s.cfg.Now()
 	if !initialised {
-		return s.cfg.Topics.Newest(ctx, f.topic)
+		items, err := s.cfg.Topics.Newest(ctx, f.topic)
+		return readResult{items: items, sentAt: sentAt, err: err}
 	}
-	return s.cfg.Topics.Follow(ctx, f.topic, from, f.wait)
+	items, err := s.cfg.Topics.Follow(ctx, f.topic, from, f.wait)
+	return readResult{items: items, sentAt: sentAt, err: err}
 }
--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -107,6 +107,9 @@
 func (s *Syncer) HandleQuery(body []byte) ([]byte, error) {
 	q, err := encoder.FromCBOR[query](body)
 	if err != nil {
+		if r, err := encoder.FromCBOR[readRequest](body); err == nil {
+			return s.handleRead(r)
+		}
 		return nil, err
 	}
 	ans, view, raw := s.tableAnswer(q)
--- a/internal/supervisor/syncer/return_test.go
+++ b/internal/supervisor/syncer/return_test.go
@@ -10,27 +10,28 @@
 
 	"github.com/gravitational/trace"
 
+	"banyanquay/internal/grouper"
 	"banyanquay/internal/provider"
 )
 
 // cutTopics returns topics whose calls get no answer while cut is set.
 func cutTopics(topics provider.Topics, cut *atomic.Bool) provider.Topics {
 	newest, follow := topics.Newest, topics.Follow
-	lost := func() error {
+	lost := func(ctx context.Context) error {
 		if !cut.Load() {
 			return nil
 		}
-		time.Sleep(900 * time.Millisecond)
+		grouper.Sleep(ctx, 900*time.Millisecond)
 		return trace.ConnectionProblem(nil, "no answer")
 	}
 	topics.Newest = func(ctx context.Context, topic string) (provider.Items, error) {
-		if err := lost(); err != nil {
+		if err := lost(ctx); err != nil {
 			return provider.Items{}, err
 		}
 		return newest(ctx, topic)
 	}
 	topics.Follow = func(ctx context.Context, topic string, from provider.Offset, wait time.Duration) (provider.Items, error) {
-		if err := lost(); err != nil {
+		if err := lost(ctx); err != nil {
 			return provider.Items{}, err
 		}
 		return follow(ctx, topic, from, wait)
--- a/internal/supervisor/syncer/syncer.go
+++ b/internal/supervisor/syncer/syncer.go
@@ -119,8 +119,11 @@
 	view   atomic.Pointer[forwarder.View]
 	table  atomic.Pointer[registrar.Table]
 	packer packer
-	// failing is set while this node's reads of the configuration fail, so that its data is that of others.
-	failing atomic.Bool
+	// failing is set while this node's reads of the configuration fail, by way of others too, so that its data is that of
+	// others; failingEndpoints is the same for the endpoints.
+	failing          atomic.Bool
+	failingEndpoints atomic.Bool
+	relay            relay
 	// rawConfiguration is the encoded record of the configuration in force.
 	rawConfiguration atomic.Pointer[[]byte]
 	// tableTimestamp is the time as of which the table is known; nil before the
@@ -195,14 +198,16 @@
 		due:   func() bool { return s.shouldRead(s.View().Confirmed, configurationAgeThreshold) },
 		apply: func(r reading) { s.applyConfiguration(r.items, r.sentAt) },
 		lost:  func() { s.failing.Store(true) }, readable: func() { s.failing.Store(false) },
+		relayed: true,
 	})
 }
 
 // followEndpoints keeps the table up to date.
 func (s *Syncer) followEndpoints(ctx context.Context) error {
 	return s.follow(ctx, feed{
-		name: "endpoints", topic: s.cfg.EndpointTopic, interval: pollInterval,
-		due: func() bool { return s.shouldRead(s.tableTime(), tableAgeThreshold) },
+		name: "endpoints", topic: s.cfg.EndpointTopic, interval: pollInterval, relayed: true,
+		due:  func() bool { return s.shouldRead(s.tableTime(), tableAgeThreshold) },
+		lost: func() { s.failingEndpoints.Store(true) }, readable: func() { s.failingEndpoints.Store(false) },
 		apply: func(r reading) {
 			s.applyEndpoints(r)
 			s.confirmRetained(ctx)
