Take no missing entry for proof that the store removed it

In an outage of the store, readers dropped live endpoints whose entries had lapsed with it, since a reader that had just started didn't list them: it never knew them. Their data centres dropped them as well until the endpoints registered again, up to two seconds later.

Cause: a table that lacks an entry counted as the word that it is gone, and a full table replaced that of a node in the outage.

A full answer names what its sender has listed and dropped within the last minute, and only that is gone. What a full table neither has nor names, a node whose own reads fail retains and asks for. Older builds name nothing, so that their word no longer counts.

--- a/internal/supervisor/syncer/peers.go
+++ b/internal/supervisor/syncer/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -93,7 +94,7 @@
 	TableAgeMillis        int64
 	// Entries and Removed are the changes to the table since the query's revision;
 	// if Full is set, Entries is the whole table, and Removed the IDs of those among them that the sender only
-	// retains; older builds name none. The next query continues from Revision.
+	// retains, and of those that it has listed and dropped. Older builds name fewer. The next query continues from Revision.
 	Entries   []registrar.Entry
 	Removed   []string
 	Full      bool
@@ -145,6 +146,9 @@
 	}
 	if ans.TableAgeMillis >= 0 {
 		ans.Entries, ans.Removed, ans.Full = s.history.changesSince(table, q.HistoryID, q.Revision)
+		if ans.Full {
+			ans.Removed = slices.AppendSeq(ans.Removed, maps.Keys(s.departed))
+		}
 		ans.HistoryID, ans.Revision = s.history.id, s.history.revision
 	}
 	return ans, view, raw
@@ -373,11 +377,30 @@
 	return fresher
 }
 
+// notNamed returns the entries of a table that a full answer neither has nor names as removed.
+func notNamed(table *registrar.Table, ans answer) []registrar.Entry {
+	named := make(map[string]bool, len(ans.Entries)+len(ans.Removed))
+	for _, e := range ans.Entries {
+		named[e.ID] = true
+	}
+	for _, id := range ans.Removed {
+		named[id] = true
+	}
+	return slices.DeleteFunc(table.All(), func(e registrar.Entry) bool { return named[e.ID] })
+}
+
 // applyTable applies the table of another node's answer, or the changes to it. The
 // caller must hold mu.
 func (s *Syncer) applyTable(ans answer, asOf time.Time, address string) {
 	before, now := s.Table(), s.cfg.Now()
 	listed, retained := s.splitRetained(ans)
+	if ans.Full && s.failingEndpoints.Load() {
+		// The sender may have read the store for the first time, after an outage that this node is still in.
+		if unknown := notNamed(before, ans); len(unknown) > 0 {
+			retained = append(retained, unknown...)
+			s.listedAt, s.unconfirmed = s.tableTime(), true
+		}
+	}
 	next := before.Replaced(now, now, listed).WithRetained(now.Add(lapseGracePeriod), retained)
 	if !ans.Full {
 		changes := make([]registrar.Change, 0, len(ans.Entries)+len(ans.Removed))
--- a/internal/supervisor/syncer/retained.go
+++ b/internal/supervisor/syncer/retained.go
@@ -55,8 +55,9 @@
 	return others[:min(len(others), maxPeersQueried)]
 }
 
-// applyConfirmation drops the retained entries that another node's table, as of a later time than that at which they
-// were last listed here, doesn't have. It retains those that the other node retains, unless this node dropped them.
+// applyConfirmation drops the retained entries that another node has listed and dropped, if its table is as of a later time
+// than that at which they were last listed here. That a table lacks one shows nothing: the node may have started since. It
+// retains those that the other node retains, unless this node dropped them.
 func (s *Syncer) applyConfirmation(ans answer, asOf time.Time, address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -64,7 +65,7 @@
 	var gone []string
 	if asOf.After(s.listedAt) {
 		gone = slices.DeleteFunc(before.RetainedIDs(), func(id string) bool {
-			return slices.ContainsFunc(ans.Entries, func(e registrar.Entry) bool { return e.ID == id })
+			return !slices.Contains(ans.Removed, id) || slices.ContainsFunc(ans.Entries, func(e registrar.Entry) bool { return e.ID == id })
 		})
 	}
 	_, retained := s.splitRetained(ans)
--- a/internal/supervisor/syncer/retained_test.go
+++ b/internal/supervisor/syncer/retained_test.go
@@ -158,3 +158,52 @@
 		}
 	})
 }
+
+// Guards against live endpoints whose entries lapsed with the store and that readers drop, since a node that has just started
+// as reader doesn't list them: it never knew them.
+func TestStartingReaderConfirmsNoRemoval(t *testing.T) {
+	for started := -200 * time.Millisecond; started < time.Second; started += 100 * time.Millisecond {
+		t.Run(fmt.Sprint("started ", started, " after the return"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fl := newOutageFleet(t, 9, nil)
+				var fresh atomic.Pointer[Syncer]
+				for _, s := range fl.all {
+					send := s.cfg.Query
+					s.cfg.Query = func(ctx context.Context, address string, query []byte) ([]byte, error) {
+						if s := fresh.Load(); s != nil && address == "1" {
+							return s.HandleQuery(query)
+						}
+						return send(ctx, address, query)
+					}
+				}
+				time.Sleep(5*time.Second + rand.N(time.Second))
+				fl.store.set(func() { fl.store.down = true })
+				time.Sleep(3 * time.Second)
+				for n := range 48 {
+					fl.store.put(endpointTopic, fmt.Sprint("e", n), "")
+				}
+				time.Sleep(time.Second + started)
+				s := newSyncer(fl.store, nil)
+				s.cfg.Address, s.cfg.Readers, s.cfg.Query = "1", fl.all[1].cfg.Readers, fl.all[0].cfg.Query
+				start(t, s)
+				fresh.Store(s)
+				time.Sleep(-started)
+				fl.store.set(func() { fl.store.down = false })
+				returned := time.Now()
+				time.AfterFunc(1900*time.Millisecond, func() {
+					for n := range 48 {
+						fl.store.put(endpointTopic, fmt.Sprint("e", n), "up")
+					}
+				})
+				// Nodes of the restarted reader's data centre have their data from it.
+				for ; time.Since(returned) < 2*time.Second; time.Sleep(20 * time.Millisecond) {
+					for _, n := range []int{0, 2} {
+						if got, want := fl.all[n].Table().Len(), 96; got < want {
+							t.Fatalf("reader %d has %d endpoints %v after the return, want %d", n, got, time.Since(returned), want)
+						}
+					}
+				}
+			})
+		})
+	}
+}
