Hold a JSON text for whole only if nothing follows its value

The first of several values counted as the whole text, although the rest of a later one may be missing. TestEndOfJSON has that case, which fails with the check before.

--- a/internal/supervisor/forwarder/unframed.go
+++ b/internal/supervisor/forwarder/unframed.go
@@ -214,10 +214,10 @@
 	}
 	var value json.RawMessage
 	switch err := json.NewDecoder(bytes.NewReader(text)).Decode(&value); {
-	case err == nil:
-		return textWhole
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return textCut
+	case err == nil && json.Valid(text): // and nothing follows the value
+		return textWhole
 	default:
 		return textUnknown
 	}
--- a/internal/supervisor/forwarder/unframed_test.go
+++ b/internal/supervisor/forwarder/unframed_test.go
@@ -415,3 +415,28 @@
 		})
 	}
 }
+
+// Guards against a text that counts as whole though more of it may have followed, or as cut off though it is whole.
+func TestEndOfJSON(t *testing.T) {
+	const mediaType = "application/json"
+	cases := []struct {
+		name, mediaType, body string
+		want                  textEnd
+	}{
+		{"an object", mediaType, ` {"a": [1, "}"]}` + "\n", textWhole},
+		{"an array", mediaType, "[1]", textWhole},
+		{"a text", mediaType, `"a"`, textWhole},
+		{"a part of an object", mediaType, `{"a": [1, "}"]`, textCut},
+		{"a part of a text", mediaType, `"a`, textCut},
+		{"a number, which a part of it is, too", mediaType, "12", textUnknown},
+		{"nothing", mediaType, "", textUnknown},
+		{"one of two values", mediaType, `{"a": 1}{"b"`, textUnknown},
+		{"no JSON", mediaType, `{a}`, textUnknown},
+		{"another type", "text/plain", `{"a": 1`, textUnknown},
+	}
+	for _, c := range cases {
+		if got, want := jsonEnd(c.mediaType, []byte(c.body)), c.want; got != want {
+			t.Errorf("%s: got %d, want %d", c.name, got, want)
+		}
+	}
+}
