Ask the standbys of the own data centre first to read the store

Records of endpoints are read each 0.6 s, and bytes between data centres are dear. The second try asks any nodes, as the standbys may be turned away, too.

--- a/internal/supervisor/syncer/relayed.go
+++ b/internal/supervisor/syncer/relayed.go
@@ -60,18 +60,28 @@
 	triedAt     time.Time
 }
 
-// due returns the node by way of which this one reads, empty if it isn't known, and whether a read is tried now.
-func (r *relay) due(now time.Time) (address string, due bool) {
+// try is how a read by way of another node is tried.
+type try struct {
+	// due is set if it is tried now, and again if the last one failed.
+	due   bool
+	again bool
+	// address is the node by way of which the last one succeeded; empty if it isn't known.
+	address string
+}
+
+// next returns how a read is tried now.
+func (r *relay) next(now time.Time) try {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	again := !r.failedSince.IsZero()
 	if r.address != "" {
-		return r.address, true
+		return try{due: true, address: r.address}
 	}
-	if now.Sub(r.triedAt) < relayRetryDelay || !r.failedSince.IsZero() && now.Sub(r.failedSince) >= relayPeriod {
-		return "", false
+	if now.Sub(r.triedAt) < relayRetryDelay || again && now.Sub(r.failedSince) >= relayPeriod {
+		return try{}
 	}
 	r.triedAt = now
-	return "", true
+	return try{due: true, again: again}
 }
 
 // failed notes that no node that was asked could read the store.
@@ -147,13 +157,13 @@
 // readByWay reads a topic by way of another node.
 func (s *Syncer) readByWay(ctx context.Context, f feed, from provider.Offset) readResult {
 	sentAt := s.cfg.Now()
-	known, due := s.relay.due(sentAt)
-	if !due {
+	next := s.relay.next(sentAt)
+	if !next.due {
 		return readResult{err: trace.ConnectionProblem(nil, "no other node is asked now")}
 	}
-	asked := []string{known}
-	if known == "" {
-		asked = s.relays()
+	asked := []string{next.address}
+	if next.address == "" {
+		asked = s.relays(next.again)
 	}
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
@@ -180,8 +190,9 @@
 	return last
 }
 
-// relays returns the nodes that are asked to read the store: others than readers, which call it themselves, if there are any.
-func (s *Syncer) relays() []string {
+// relays returns the nodes that are asked to read the store: first those of this data centre that replace its reader, then
+// any others than readers, which call it themselves, if there are any.
+func (s *Syncer) relays(again bool) []string {
 	isOther := func(address string) bool { return address != s.cfg.Address }
 	readers := s.cfg.Readers()
 	var asked []string
@@ -192,8 +203,12 @@
 			}
 		}
 	}
+	isNoReader := func(address string) bool { return !slices.Contains(readers, address) }
 	peers := s.cfg.Peers()
-	add(peers, func(address string) bool { return !slices.Contains(readers, address) })
+	if !again {
+		add(s.cfg.Standbys(), isNoReader)
+	}
+	add(peers, isNoReader)
 	add(peers, isOther)
 	return asked
 }
