Read the clock for answers without a length only

What a read of the body notes is used for these alone; a stream in chunks read the clock twice more for each event. The tests of answers of leaving endpoints pass, those with processes in one run.

--- a/internal/supervisor/forwarder/generate.go
+++ b/internal/supervisor/forwarder/generate.go
@@ -255,7 +255,7 @@
 	reply.Body = body
 	err := f.relayEvents(ctx, c, s, reply)
 	if errors.Is(err, errTruncated) {
-		f.ends.noteBreak(stream.endpoint.Address, body.ended)
+		f.ends.noteBreak(stream.endpoint.Address, f.cfg.Now())
 	}
 	state := s.snapshot()
 	if err != nil || c.atMaximum(state.events) {
--- a/internal/supervisor/forwarder/unframed.go
+++ b/internal/supervisor/forwarder/unframed.go
@@ -54,6 +54,8 @@
 	f       *Forwarder
 	ctx     context.Context
 	address string
+	// unframed is set if only the end of the connection marks that of the body; the fields below are set only then.
+	unframed bool
 	// ended is when the end of the body was read, and silence how long the endpoint had certainly written nothing by then;
 	// zero before the end.
 	ended   time.Time
@@ -67,30 +69,39 @@
 
 // newAnswerBody returns the body of a reply to a request that was sent with a context.
 func (f *Forwarder) newAnswerBody(ctx context.Context, reply driver.Reply, address string) *answerBody {
-	return &answerBody{ReadCloser: reply.Body, f: f, ctx: ctx, address: address}
+	return &answerBody{ReadCloser: reply.Body, f: f, ctx: ctx, address: address, unframed: reply.Unframed}
 }
 
 // Read reads from the body. What this process does between two reads is no silence of the endpoint.
 func (b *answerBody) Read(buf []byte) (int, error) {
-	began := b.f.cfg.Now()
+	var began time.Time
+	if b.unframed {
+		began = b.f.cfg.Now()
+	}
 	n, err := b.ReadCloser.Read(buf)
+	if b.unframed {
+		b.note(n, err, began)
+	}
+	if err != nil && !errors.Is(err, io.EOF) && b.ctx.Err() == nil {
+		b.f.ends.noteBreak(b.address, b.f.cfg.Now())
+	}
+	return n, err
+}
+
+// note notes the result of a read that began at a time.
+func (b *answerBody) note(n int, err error, began time.Time) {
 	now := b.f.cfg.Now()
 	if n > 0 && b.begun {
 		b.parts++
 		b.waited += now.Sub(began)
 	}
 	b.begun = b.begun || n > 0
-	switch {
-	case err == nil:
-	case errors.Is(err, io.EOF):
+	if errors.Is(err, io.EOF) {
 		b.ended = now
 		if n == 0 {
 			b.silence = b.f.monitor.awakeUntil(began, now).Sub(began)
 		}
-	case b.ctx.Err() == nil:
-		b.f.ends.noteBreak(b.address, now)
 	}
-	return n, err
 }
 
 // ends holds what is known of the ends of answers. It is safe for concurrent use.
