--- a/internal/supervisor/syncer/relayed_test.go
+++ b/internal/supervisor/syncer/relayed_test.go
@@ -71,51 +71,41 @@
 
 // Guards against nodes that use an endpoint for longer than is allowed after its entry was removed, because the readers
 // were turned away, kept it when they returned, and confirmed it to each other, although the store would have told any
-// other node.
-func TestRemovedEndpointIsGoneWhenReadersWereTurnedAway(t *testing.T) {
+// other node. The same of endpoints that leave, of configurations, and of keys, which count as long as the configuration's
+// confirmation does.
+func TestChangesAreInForceWhenReadersWereTurnedAway(t *testing.T) {
 	forEachTurnedAway(t, func(t *testing.T, fl *outageFleet, calm []int) {
 		fl.store.put(endpointTopic, "e1", "")
+		fl.store.put(endpointTopic, "e2", "leaving")
+		fl.store.put(configTopic, configKey, "2")
 		gone := make(map[int]bool)
-		for removed := time.Now(); time.Since(removed) < 6*time.Second; time.Sleep(20 * time.Millisecond) {
+		for changed := time.Now(); time.Since(changed) < 6*time.Second; time.Sleep(20 * time.Millisecond) {
+			late := time.Since(changed)
 			for _, n := range calm {
-				_, listed := fl.all[n].Table().Get("e1")
+				s := fl.all[n]
+				_, listed := s.Table().Get("e1")
 				if listed && gone[n] {
-					t.Fatalf("node %d lists the endpoint again %v after its removal", n, time.Since(removed))
+					t.Fatalf("node %d lists the endpoint again %v after its removal", n, late)
 				}
-				if listed && time.Since(removed) > drainDeadline {
-					t.Fatalf("node %d lists the endpoint %v after its removal, want at most %v", n, time.Since(removed), drainDeadline)
+				if listed && late > drainDeadline {
+					t.Fatalf("node %d lists the endpoint %v after its removal, want at most %v", n, late, drainDeadline)
 				}
 				gone[n] = !listed
-			}
-			for n, s := range fl.all {
-				if got, want := s.Table().Len(), 95; got < want {
-					t.Fatalf("node %d has %d endpoints, want %d", n, got, want)
+				if e, _ := s.Table().Get("e2"); !e.Leaving && late > drainDeadline {
+					t.Fatalf("node %d doesn't know after %v that e2 leaves, want %v", n, late, drainDeadline)
 				}
-			}
-		}
-	})
-}
-
-// Guards against old configurations, keys that stay in force and endpoints that leave unnoticed at nodes that the store
-// serves, while it turns their readers away.
-func TestChangesAreInForceWhenReadersAreTurnedAway(t *testing.T) {
-	forEachTurnedAway(t, func(t *testing.T, fl *outageFleet, calm []int) {
-		fl.store.put(configTopic, configKey, "2")
-		fl.store.put(endpointTopic, "e1", "leaving")
-		for changed := time.Now(); time.Since(changed) < 6*time.Second; time.Sleep(20 * time.Millisecond) {
-			for _, n := range calm {
-				s := fl.all[n]
-				late := time.Since(changed)
 				if got, want := version(s), int64(2); got != want && late > applyDeadline {
 					t.Fatalf("node %d has version %d after %v, want %d after %v", n, got, late, want, applyDeadline)
 				}
-				if e, _ := s.Table().Get("e1"); !e.Leaving && late > drainDeadline {
-					t.Fatalf("node %d doesn't know after %v that e1 leaves, want %v", n, late, drainDeadline)
-				}
 				if age := time.Since(s.View().Confirmed); age > revokeDeadline {
 					t.Fatalf("node %d: the confirmation is %v old, want at most %v", n, age, revokeDeadline)
 				}
 			}
+			for n, s := range fl.all {
+				if got, want := s.Table().Len(), 95; got < want {
+					t.Fatalf("node %d has %d endpoints, want %d", n, got, want)
+				}
+			}
 		}
 	})
 }
--- a/internal/supervisor/syncer/retained_test.go
+++ b/internal/supervisor/syncer/retained_test.go
@@ -165,9 +165,8 @@
 	for started := -200 * time.Millisecond; started < time.Second; started += 100 * time.Millisecond {
 		t.Run(fmt.Sprint("started ", started, " after the return"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				fl := newOutageFleet(t, 9, nil)
 				var fresh atomic.Pointer[Syncer]
-				for _, s := range fl.all {
+				fl := newOutageFleet(t, 9, func(_ int, s *Syncer) {
 					send := s.cfg.Query
 					s.cfg.Query = func(ctx context.Context, address string, query []byte) ([]byte, error) {
 						if s := fresh.Load(); s != nil && address == "1" {
@@ -175,7 +174,7 @@
 						}
 						return send(ctx, address, query)
 					}
-				}
+				})
 				time.Sleep(5*time.Second + rand.N(time.Second))
 				fl.store.set(func() { fl.store.down = true })
 				time.Sleep(3 * time.Second)
